Serve one request end to end by processes

Cause: there was nothing to run. Change: platform log client, fold, root relays and streams, membership, lease, timed rollout with an error threshold, outbound and inbound proxies, the four programs, stand-ins, demonstration and checks.

--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,8 @@
+Feature: The whole path
+  A release reaches every node and a call reaches the target.
+
+  Scenario: a call enters at any node and gets the target's answer
+    Given a mesh of 3 nodes of service kvoty in lipno
+    When a release routes /kvoty to version v1 of kvoty
+    Then it is in force on all nodes within 4 seconds
+    And a call to /kvoty/today through each node answers "kvoty/v1 GET /kvoty/today"
--- /dev/null
+++ b/src/arbutusstall/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/src/arbutusstall/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Console programs."""
--- /dev/null
+++ b/src/arbutusstall/_effects.py
@@ -0,0 +1,195 @@
+"""Events that reach a node's decision logic and effects it asks for."""
+
+from collections import abc
+import dataclasses
+
+from arbutusstall._log import records
+from arbutusstall._tables import agreed
+from arbutusstall._tables import members
+from arbutusstall._tables import outcomes
+from arbutusstall._wire import messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogEntry:
+    """One stored record."""
+
+    offset: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogRead:
+    """The log answered a read.
+
+    Attributes:
+        entries: Records in offset order, none twice.
+        first_kept: Oldest offset that the log still has.
+        next_offset: Offset that the next append will get.
+    """
+
+    entries: tuple[LogEntry, ...]
+    first_kept: int
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogFailed:
+    """A read or an append got no answer."""
+
+    reason: str
+    record: records.Record | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Appended:
+    """The log stored a record of this node."""
+
+    offset: int
+    record: records.Record
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """A message came over the link to ``peer``."""
+
+    peer: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LinkLost:
+    """A stream ended, or a connection could not be opened.
+
+    Attributes:
+        peer: Node id if it is known, else the address.
+    """
+
+    peer: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Announced:
+    """The target beside this node announced itself."""
+
+    service: str
+    version: str
+    address: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Left:
+    """The target beside this node leaves, or the node itself stops."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Observed:
+    """Outcome counts that the inbound proxy added since the last event."""
+
+    key: outcomes.OutcomeKey
+    added: outcomes.OutcomeCounts
+
+
+Event = (
+    LogRead
+    | LogFailed
+    | Appended
+    | Received
+    | LinkLost
+    | Announced
+    | Left
+    | Observed
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Append:
+    """Append a record; repeated by the shell until answered."""
+
+    record: records.Record
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FollowLog:
+    """Read the log from ``offset`` on, continuously."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StopLog:
+    """Read the log no longer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Connect:
+    """Open a stream to the node at ``address`` and send ``hello``."""
+
+    address: str
+    hello: messages.Hello
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Disconnect:
+    """Close the stream to ``peer``."""
+
+    peer: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """Send a message over the link to ``peer``."""
+
+    peer: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class View:
+    """What the call path routes by; replaced as a whole.
+
+    Attributes:
+        members_by_service: Members with an announced target.
+        blocked: Versions that get no traffic, ``"service/version"``.
+    """
+
+    snapshot: agreed.Snapshot = dataclasses.field(
+        default_factory=agreed.Snapshot
+    )
+    members_by_service: abc.Mapping[str, tuple[members.Member, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    blocked: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PutInForce:
+    """Use this view for all calls from now on."""
+
+    view: View
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Emit:
+    """Write an event line to the process log."""
+
+    event: str
+    fields: abc.Mapping[str, str | int | float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+Effect = (
+    Append
+    | FollowLog
+    | StopLog
+    | Connect
+    | Disconnect
+    | Send
+    | PutInForce
+    | Emit
+)
--- /dev/null
+++ b/src/arbutusstall/_log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform log: records, their fold, and the client."""
--- /dev/null
+++ b/src/arbutusstall/_log/records.py
@@ -0,0 +1,140 @@
+"""Records of the platform log and their encoding.
+
+A record is one JSON object ``{"kind": NAME, "body": {...}}``.
+"""
+
+from collections import abc
+import dataclasses
+
+import msgspec
+
+from arbutusstall import _notes
+from arbutusstall import errors
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseRecord:
+    """A published release.
+
+    Attributes:
+        record_id: Names the append; a repeated one has no effect.
+        digest: Hash of the release file's content.
+        published_s: Publication time, seconds since the epoch.
+        seen: For each touched item the offset of the change that the
+            operator saw last; -1 for an item that was not there.
+    """
+
+    record_id: str
+    note: _notes.ReleaseNote
+    digest: str
+    published_s: float
+    seen: abc.Mapping[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseClaim:
+    """Asks for the lease; accepted if ``replaces`` is the current one."""
+
+    record_id: str
+    holder: str
+    replaces: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseRenewal:
+    """Extends the lease that was claimed at offset ``lease``."""
+
+    record_id: str
+    lease: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShareDecision:
+    """Sets the shares of a running rollout, under a lease."""
+
+    record_id: str
+    lease: int
+    rollout_id: str
+    step: int
+    percent_by_version: abc.Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """Ends a rollout, under a lease.
+
+    Attributes:
+        done: True when the goal was reached, false for a rollback.
+        reason: One line with the outcome counts behind the verdict.
+    """
+
+    record_id: str
+    lease: int
+    rollout_id: str
+    done: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RootRecord:
+    """Announces a root relay by its relay and admin addresses."""
+
+    record_id: str
+    node: str
+    data_centre: str
+    address: str
+    admin: str
+
+
+Record = (
+    ReleaseRecord
+    | LeaseClaim
+    | LeaseRenewal
+    | ShareDecision
+    | Verdict
+    | RootRecord
+)
+
+_KINDS: dict[str, type[Record]] = {
+    "release": ReleaseRecord,
+    "lease-claim": LeaseClaim,
+    "lease-renewal": LeaseRenewal,
+    "shares": ShareDecision,
+    "verdict": Verdict,
+    "root": RootRecord,
+}
+_NAMES = {cls: name for name, cls in _KINDS.items()}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Envelope:
+    kind: str
+    body: msgspec.Raw
+
+
+def encode(record: Record) -> bytes:
+    """Return the record as JSON bytes."""
+    body = msgspec.Raw(msgspec.json.encode(record))
+    return msgspec.json.encode(_Envelope(kind=_NAMES[type(record)], body=body))
+
+
+def decode(data: bytes) -> Record:
+    """Return the record that ``data`` holds.
+
+    Raises:
+        WireError: The bytes are damaged or the kind is not known.
+    """
+    try:
+        envelope = msgspec.json.decode(data, type=_Envelope)
+        kind = _KINDS.get(envelope.kind)
+        if kind is None:
+            raise errors.WireError(
+                step="record.decode",
+                peer="log",
+                reason=f"unknown kind {envelope.kind!r}",
+            )
+        return msgspec.json.decode(envelope.body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise errors.WireError(
+            step="record.decode", peer="log", reason=str(exc)
+        ) from exc
--- /dev/null
+++ b/src/arbutusstall/_settings.py
@@ -0,0 +1,104 @@
+"""Settings of a node, decoded from JSON into frozen data classes."""
+
+import dataclasses
+import pathlib
+
+from arbutusstall import _files
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AddressSettings:
+    """Where a node listens, each ``IP:PORT``.
+
+    Attributes:
+        callers: HTTP for callers (the outbound proxy).
+        inbound: gRPC for calls from other nodes.
+        relay: gRPC for configuration and membership streams.
+        admin: HTTP for metrics, health, status and announcements.
+    """
+
+    callers: str
+    inbound: str
+    relay: str
+    admin: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LogSettings:
+    """How to reach the platform log; times in seconds."""
+
+    url: str
+    request_timeout_s: float = 2.0
+    poll_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseSettings:
+    """Times of the leader's lease in seconds."""
+
+    renew_s: float = 1.0
+    expire_s: float = 4.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RelaySettings:
+    """Shape and times of the distribution tree; times in seconds."""
+
+    roots: int = 3
+    fan_out: int = 16
+    refresh_s: float = 30.0
+    expire_s: float = 100.0
+    retry_base_s: float = 0.2
+    retry_cap_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutSettings:
+    """Policy for moving traffic between versions."""
+
+    first_percent: float = 5.0
+    step_s: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallSettings:
+    """Limits of the call path; times in milliseconds."""
+
+    slots: int = 20
+    connections: int = 130
+    queue: int = 40
+    default_deadline_ms: int = 5_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NodeSettings:
+    """Everything a node has to be told.
+
+    Attributes:
+        node: Unique id of the node.
+        data_centre: Where it runs, such as ``"lipno"``.
+        region: Region of the data centre.
+        seeds: Relay addresses to ask when the log is out at start.
+    """
+
+    node: str
+    data_centre: str
+    addresses: AddressSettings
+    log: LogSettings
+    region: str = "main"
+    seeds: tuple[str, ...] = ()
+    lease: LeaseSettings = LeaseSettings()
+    relay: RelaySettings = RelaySettings()
+    rollout: RolloutSettings = RolloutSettings()
+    calls: CallSettings = CallSettings()
+    log_level: str = "INFO"
+    tick_s: float = 0.1
+
+
+def load(path: pathlib.Path) -> NodeSettings:
+    """Read and check the settings file at ``path``.
+
+    Raises:
+        InvalidFile: The file is missing, malformed or fails a check.
+    """
+    return _files.load(path, NodeSettings)
--- /dev/null
+++ b/src/arbutusstall/_shell/__init__.py
@@ -0,0 +1,1 @@
+"""Threads, sockets and clocks around the decision logic."""
--- /dev/null
+++ b/src/arbutusstall/_shell/admin.py
@@ -0,0 +1,133 @@
+"""The admin server: health, metrics, status and announcements."""
+
+from collections import abc
+import dataclasses
+
+import msgspec
+import prometheus_client
+from werkzeug import wrappers
+
+from arbutusstall import _core
+from arbutusstall import _effects
+from arbutusstall._shell import control
+from arbutusstall._shell import inbound
+from arbutusstall._systems import distribution
+from arbutusstall._tables import members
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Announcement:
+    """Body of ``POST /v1/announce``; ``address`` is ``IP:PORT``."""
+
+    service: str
+    version: str
+    address: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Status:
+    """Answer of ``GET /v1/status``.
+
+    Attributes:
+        known: Nodes at and below this one, itself included.
+        in_force: Those that have ``version`` in force.
+        serving: Endpoints known here that take calls.
+    """
+
+    node: str
+    data_centre: str
+    version: int
+    root: bool
+    known: int
+    in_force: int
+    serving: int
+
+
+class Admin:
+    """A WSGI application for operators, scrapers and the target."""
+
+    def __init__(
+        self,
+        core: _core.NodeCore,
+        loop: control.ControlLoop,
+        proxy: inbound.Inbound,
+    ) -> None:
+        self._core = core
+        self._loop = loop
+        self._proxy = proxy
+        self._handlers = {
+            ("GET", "/healthz"): self._healthy,
+            ("GET", "/readyz"): self._ready,
+            ("GET", "/metrics"): self._metrics,
+            ("GET", "/v1/status"): self._status,
+            ("POST", "/v1/announce"): self._announce,
+            ("POST", "/v1/leave"): self._leave,
+        }
+
+    def __call__(
+        self,
+        environ: dict[str, object],
+        start_response: abc.Callable[..., object],
+    ) -> abc.Iterable[bytes]:
+        """Answer one request (WSGI)."""
+        request = wrappers.Request(environ)
+        handler = self._handlers.get((request.method, request.path))
+        if handler is None:
+            response = wrappers.Response("not found\n", 404)
+        else:
+            response = handler(request)
+        return response(environ, start_response)  # type: ignore[arg-type]
+
+    def _healthy(self, request: wrappers.Request) -> wrappers.Response:
+        return wrappers.Response("ok\n")
+
+    def _ready(self, request: wrappers.Request) -> wrappers.Response:
+        if self._core.tables.snapshot.version == 0:
+            return wrappers.Response("no configuration\n", 503)
+        return wrappers.Response("ok\n")
+
+    def _metrics(self, request: wrappers.Request) -> wrappers.Response:
+        return wrappers.Response(
+            prometheus_client.generate_latest(),
+            content_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    def _status(self, request: wrappers.Request) -> wrappers.Response:
+        tables = self._core.tables
+        report = distribution.summary(tables)
+        status = Status(
+            node=tables.member.node,
+            data_centre=tables.member.data_centre,
+            version=report.version,
+            root=tables.is_root,
+            known=report.known,
+            in_force=report.in_force,
+            serving=sum(
+                member.state is members.MemberState.SERVING
+                for member in list(tables.members_by_node.values())
+            ),
+        )
+        return wrappers.Response(
+            msgspec.json.encode(status), content_type="application/json"
+        )
+
+    def _announce(self, request: wrappers.Request) -> wrappers.Response:
+        try:
+            body = msgspec.json.decode(request.get_data(), type=Announcement)
+        except msgspec.MsgspecError as exc:
+            return wrappers.Response(f"{exc}\n", 400)
+        event = _effects.Announced(
+            service=body.service,
+            version=body.version,
+            address=body.address,
+            slots=body.slots,
+        )
+        self._proxy.announced(event)
+        self._loop.put(event)
+        return wrappers.Response("ok\n")
+
+    def _leave(self, request: wrappers.Request) -> wrappers.Response:
+        self._proxy.admission.drain()
+        self._loop.put(_effects.Left(reason="target"))
+        return wrappers.Response("ok\n")
--- /dev/null
+++ b/src/arbutusstall/_shell/events.py
@@ -0,0 +1,56 @@
+"""Event lines of a process: key=value pairs on standard error."""
+
+from collections import abc
+import itertools
+import logging
+import sys
+
+import logfmter
+
+from arbutusstall import _settings
+
+LOG = logging.getLogger("arbutusstall")
+
+
+class EventLog:
+    """Writes events with the node's own fields added.
+
+    Each line carries the wall clock in seconds and a sequence number
+    that grows by one with each line of the process.
+    """
+
+    def __init__(self, settings: _settings.NodeSettings) -> None:
+        self._node = settings.node
+        self._data_centre = settings.data_centre
+        self._sequence = itertools.count(1)
+
+    def emit(
+        self,
+        event: str,
+        fields: abc.Mapping[str, str | int | float] | None = None,
+        level: int = logging.INFO,
+    ) -> None:
+        """Write one line for ``event``."""
+        if not LOG.isEnabledFor(level):
+            return
+        extra = {
+            "node": self._node,
+            "data_centre": self._data_centre,
+            "seq": next(self._sequence),
+            **(fields or {}),
+        }
+        LOG.log(level, event, extra=extra)
+
+
+def configure(level: str) -> None:
+    """Send the package's log lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        logfmter.Logfmter(
+            keys=["at", "ts", "event"],
+            mapping={"at": "levelname", "ts": "created", "event": "msg"},
+        )
+    )
+    LOG.handlers[:] = [handler]
+    LOG.propagate = False
+    LOG.setLevel(level)
--- /dev/null
+++ b/src/arbutusstall/_shell/node.py
@@ -0,0 +1,86 @@
+"""Assembles a node process from its parts."""
+
+import random
+import signal
+import threading
+import time
+
+from arbutusstall import _clock
+from arbutusstall import _core
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall._log import client
+from arbutusstall._shell import admin
+from arbutusstall._shell import control
+from arbutusstall._shell import events
+from arbutusstall._shell import inbound
+from arbutusstall._shell import log_worker
+from arbutusstall._shell import outbound
+from arbutusstall._shell import relay
+from arbutusstall._shell import web
+
+_GRACE_S = 10.0
+_SPREAD_S = 0.3
+
+
+class Node:
+    """All parts of one node process."""
+
+    def __init__(self, settings: _settings.NodeSettings) -> None:
+        incarnation = time.time_ns() // 1_000_000
+        self._log = events.EventLog(settings)
+        self._core = _core.NodeCore(settings, random.Random(), incarnation)
+        self._loop = control.ControlLoop(
+            self._core, _clock.SystemClock(), settings.tick_s
+        )
+        self._inbound = inbound.Inbound(settings, self._loop, incarnation)
+        self._outbound = outbound.Outbound(settings, self._inbound, self._log)
+        self._relay = relay.Relay(settings.addresses.relay, self._loop)
+        self._log_worker = log_worker.LogWorker(
+            client.HttpLogClient(settings.log), settings.log, self._loop
+        )
+        self._callers = web.WebServer(
+            settings.addresses.callers, self._outbound
+        )
+        self._admin = web.WebServer(
+            settings.addresses.admin,
+            admin.Admin(self._core, self._loop, self._inbound),
+        )
+        self._register()
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stopping = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: stopping.set())
+        self._relay.start()
+        self._inbound.start()
+        self._loop.start()
+        self._admin.start()
+        self._callers.start()
+        stopping.wait()
+        self._stop()
+
+    def _register(self) -> None:
+        loop = self._loop
+        loop.on(_effects.Append, self._log_worker.append)
+        loop.on(_effects.FollowLog, self._log_worker.follow)
+        loop.on(_effects.StopLog, self._log_worker.stop_reading)
+        loop.on(_effects.Connect, self._relay.connect)
+        loop.on(_effects.Disconnect, self._relay.disconnect)
+        loop.on(_effects.Send, self._relay.send)
+        loop.on(_effects.PutInForce, self._outbound.put_in_force)
+        loop.on(_effects.Emit, self._emit)
+
+    def _emit(self, effect: _effects.Emit) -> None:
+        self._log.emit(effect.event, effect.fields)
+
+    def _stop(self) -> None:
+        self._log.emit("node-stopping")
+        self._loop.put(_effects.Left(reason="node stops"))
+        time.sleep(_SPREAD_S)
+        self._inbound.stop(_GRACE_S)
+        self._callers.stop()
+        self._loop.stop()
+        self._relay.stop()
+        self._log.emit("node-stopped")
--- /dev/null
+++ b/src/arbutusstall/_tables/agreed.py
@@ -0,0 +1,178 @@
+"""The agreed state: a pure function of the log's prefix."""
+
+from collections import abc
+import dataclasses
+import enum
+
+NO_OFFSET = -1
+NO_LEASE = -1
+
+
+class RolloutState(enum.Enum):
+    """Where a rollout stands."""
+
+    RUNNING = "running"
+    DONE = "done"
+    ROLLED_BACK = "rolled-back"
+
+
+class ReleaseState(enum.Enum):
+    """What the fold decided about a release."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Service:
+    """A named back end that targets announce themselves for."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Maps a path prefix to a service.
+
+    Attributes:
+        prefix: Path prefix; the longest match wins.
+        service: Name of the service that answers.
+        timeout_ms: Deadline of a request that names none itself.
+        idempotent: Whether every method may be executed twice; if not,
+            only GET and HEAD may.
+    """
+
+    prefix: str
+    service: str
+    timeout_ms: int = 5_000
+    idempotent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Shares:
+    """Percent of a service's traffic by version; sums to 100."""
+
+    service: str
+    percent_by_version: abc.Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rollout:
+    """One planned change of shares.
+
+    Attributes:
+        rollout_id: Release name and service, ``"release/service"``.
+        release: Name of the release that asked for it.
+        service: The service whose traffic moves.
+        start: Shares when the release was accepted.
+        goal: Shares to reach.
+        started_s: Publication time, seconds since the epoch.
+        by_s: Time to reach the goal, seconds since the epoch.
+        state: Running, done or rolled back.
+        reason: Why the verdict was given, empty while running.
+        step: Number of share decisions so far.
+        offset: Log offset of the release record.
+    """
+
+    rollout_id: str
+    release: str
+    service: str
+    start: abc.Mapping[str, float]
+    goal: abc.Mapping[str, float]
+    started_s: float
+    by_s: float
+    state: RolloutState = RolloutState.RUNNING
+    reason: str = ""
+    step: int = 0
+    offset: int = NO_OFFSET
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lease:
+    """The leader's lease.
+
+    Attributes:
+        offset: Log offset of the accepted claim, the fencing token.
+        holder: Node id of the leader.
+        renewed: Log offset of the newest claim or renewal.
+    """
+
+    offset: int = NO_LEASE
+    holder: str = ""
+    renewed: int = NO_LEASE
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Root:
+    """A root relay that reads the log for its data centre."""
+
+    node: str
+    data_centre: str
+    address: str
+    admin: str
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseOutcome:
+    """What became of a published release."""
+
+    name: str
+    digest: str
+    state: ReleaseState
+    reason: str
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Snapshot:
+    """The configuration that a node puts in force as a whole.
+
+    Attributes:
+        version: Log offset of the newest record that changed it, plus
+            one; zero for the empty configuration.
+        blocked: Versions that were rolled back, as
+            ``"service/version"``; they get no traffic.
+    """
+
+    version: int = 0
+    services_by_name: abc.Mapping[str, Service] = dataclasses.field(
+        default_factory=dict
+    )
+    routes_by_prefix: abc.Mapping[str, Route] = dataclasses.field(
+        default_factory=dict
+    )
+    shares_by_service: abc.Mapping[str, Shares] = dataclasses.field(
+        default_factory=dict
+    )
+    rollouts_by_id: abc.Mapping[str, Rollout] = dataclasses.field(
+        default_factory=dict
+    )
+    blocked: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Agreed:
+    """Everything that follows from the log up to ``offset``.
+
+    Attributes:
+        offset: Offset of the next record to fold.
+        snapshot: The configuration in force.
+        item_offsets_by_key: For each configuration item
+            (``service/NAME``, ``route/PREFIX``, ``shares/SERVICE``) the
+            offset of the record that changed it last.
+    """
+
+    offset: int = 0
+    snapshot: Snapshot = dataclasses.field(default_factory=Snapshot)
+    item_offsets_by_key: abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    releases_by_name: abc.Mapping[str, ReleaseOutcome] = dataclasses.field(
+        default_factory=dict
+    )
+    lease: Lease = dataclasses.field(default_factory=Lease)
+    roots_by_node: abc.Mapping[str, Root] = dataclasses.field(
+        default_factory=dict
+    )
+    record_ids: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/src/arbutusstall/_tables/links.py
@@ -0,0 +1,32 @@
+"""Streams between nodes."""
+
+import dataclasses
+import enum
+
+
+class LinkRole(enum.Enum):
+    """What the other side is to this node."""
+
+    PARENT = "parent"
+    CHILD = "child"
+    ROOT = "root"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Link:
+    """An open stream.
+
+    Attributes:
+        peer: Node id of the other side.
+        address: Relay address of the other side.
+        version: Newest configuration version the peer is known to have.
+        known: Nodes at and below the peer.
+        in_force: Those of them that have ``version`` in force.
+    """
+
+    peer: str
+    address: str
+    role: LinkRole
+    version: int = 0
+    known: int = 1
+    in_force: int = 0
--- /dev/null
+++ b/src/arbutusstall/_tables/node.py
@@ -0,0 +1,61 @@
+"""All tables of one node."""
+
+import dataclasses
+import random
+
+from arbutusstall import _settings
+from arbutusstall._tables import agreed as agreed_tables
+from arbutusstall._tables import links
+from arbutusstall._tables import members
+from arbutusstall._tables import outcomes
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Tables:
+    """The state that the systems of one node run over.
+
+    Rows are immutable; the mappings are changed only by the systems.
+
+    Attributes:
+        member: The row of this node itself.
+        agreed: The fold of the log; current only at a root.
+        snapshot: The configuration in force here.
+        digest: Digest of ``snapshot``.
+        is_root: Whether this node reads the log for its data centre.
+        caught_up: Whether the log was read to its end at least once.
+        lease_seen_s: Monotonic time of the last lease claim or renewal.
+        blocked: Versions rolled back locally, ``"service/version"``.
+    """
+
+    settings: _settings.NodeSettings
+    rng: random.Random
+    member: members.Member
+    agreed: agreed_tables.Agreed = dataclasses.field(
+        default_factory=agreed_tables.Agreed
+    )
+    snapshot: agreed_tables.Snapshot = dataclasses.field(
+        default_factory=agreed_tables.Snapshot
+    )
+    digest: str = ""
+    is_root: bool = False
+    caught_up: bool = False
+    members_by_node: dict[str, members.Member] = dataclasses.field(
+        default_factory=dict
+    )
+    links_by_peer: dict[str, links.Link] = dataclasses.field(
+        default_factory=dict
+    )
+    outcomes_by_key: dict[outcomes.OutcomeKey, outcomes.OutcomeCounts] = (
+        dataclasses.field(default_factory=dict)
+    )
+    blocked: set[str] = dataclasses.field(default_factory=set)
+    lease_seen_s: float = 0.0
+    lease_seen_offset: int = agreed_tables.NO_LEASE
+    next_renewal_s: float = 0.0
+    next_report_s: float = 0.0
+    next_attach_s: float = 0.0
+    next_root_record_s: float = 0.0
+    next_step_s_by_rollout: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    attaching_to: str = ""
--- /dev/null
+++ b/src/arbutusstall/_timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Merging and checking the event lines of many processes."""
--- /dev/null
+++ b/src/arbutusstall/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and their encoding."""
--- /dev/null
+++ b/src/arbutusstall/errors.py
@@ -0,0 +1,58 @@
+"""Errors of the package; each carries the step and the peer."""
+
+import dataclasses
+
+__all__ = [
+    "ArbutusstallError",
+    "InvalidFile",
+    "LogUnavailable",
+    "NotRun",
+    "OutcomeUnknown",
+    "PeerUnavailable",
+    "WireError",
+]
+
+
+@dataclasses.dataclass(eq=False)
+class ArbutusstallError(Exception):
+    """Base of all errors.
+
+    Attributes:
+        step: The operation that failed, such as ``"log.append"``.
+        peer: The address or name of the other side, or ``"-"``.
+        reason: One line that says what went wrong.
+    """
+
+    step: str
+    peer: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.step}: {self.reason} (peer {self.peer})"
+
+
+class InvalidFile(ArbutusstallError):
+    """A settings or release file does not pass its checks.
+
+    ``peer`` is the file's name; ``reason`` starts with the JSON path.
+    """
+
+
+class LogUnavailable(ArbutusstallError):
+    """The platform log did not answer; an append may have taken effect."""
+
+
+class PeerUnavailable(ArbutusstallError):
+    """Another node could not be reached, so nothing was sent to it."""
+
+
+class WireError(ArbutusstallError):
+    """A message from another process could not be decoded."""
+
+
+class NotRun(ArbutusstallError):
+    """A request was refused and has certainly not been executed."""
+
+
+class OutcomeUnknown(ArbutusstallError):
+    """A request may or may not have been executed."""
--- /dev/null
+++ b/src/arbutusstall/protocols.py
@@ -0,0 +1,64 @@
+"""The interfaces that a driver of the decision logic needs.
+
+One node is one `NodeCore`. A driver calls ``start(now)`` once, then
+``handle(event, now)`` for each event and ``tick(now)`` at a fixed
+interval, and carries out the returned effects in order. Times are
+`Instant` values that the driver chooses; random numbers come from the
+generator passed to the constructor. Many cores run in one process.
+"""
+
+from arbutusstall._clock import Clock
+from arbutusstall._clock import Instant
+from arbutusstall._clock import ManualClock
+from arbutusstall._clock import SystemClock
+from arbutusstall._core import NodeCore
+from arbutusstall._effects import Announced
+from arbutusstall._effects import Append
+from arbutusstall._effects import Appended
+from arbutusstall._effects import Connect
+from arbutusstall._effects import Disconnect
+from arbutusstall._effects import Effect
+from arbutusstall._effects import Emit
+from arbutusstall._effects import Event
+from arbutusstall._effects import FollowLog
+from arbutusstall._effects import Left
+from arbutusstall._effects import LinkLost
+from arbutusstall._effects import LogEntry
+from arbutusstall._effects import LogFailed
+from arbutusstall._effects import LogRead
+from arbutusstall._effects import Observed
+from arbutusstall._effects import PutInForce
+from arbutusstall._effects import Received
+from arbutusstall._effects import Send
+from arbutusstall._effects import StopLog
+from arbutusstall._effects import View
+from arbutusstall._log.client import LogClient
+
+__all__ = [
+    "Announced",
+    "Append",
+    "Appended",
+    "Clock",
+    "Connect",
+    "Disconnect",
+    "Effect",
+    "Emit",
+    "Event",
+    "FollowLog",
+    "Instant",
+    "Left",
+    "LinkLost",
+    "LogClient",
+    "LogEntry",
+    "LogFailed",
+    "LogRead",
+    "ManualClock",
+    "NodeCore",
+    "Observed",
+    "PutInForce",
+    "Received",
+    "Send",
+    "StopLog",
+    "SystemClock",
+    "View",
+]
--- /dev/null
+++ b/src/arbutusstall/settings.py
@@ -0,0 +1,21 @@
+"""Settings of a node."""
+
+from arbutusstall._settings import AddressSettings
+from arbutusstall._settings import CallSettings
+from arbutusstall._settings import LeaseSettings
+from arbutusstall._settings import load
+from arbutusstall._settings import LogSettings
+from arbutusstall._settings import NodeSettings
+from arbutusstall._settings import RelaySettings
+from arbutusstall._settings import RolloutSettings
+
+__all__ = [
+    "AddressSettings",
+    "CallSettings",
+    "LeaseSettings",
+    "LogSettings",
+    "NodeSettings",
+    "RelaySettings",
+    "RolloutSettings",
+    "load",
+]
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,121 @@
+"""Runs the co-op's mesh in small: one move is done, one rolled back."""
+
+import datetime
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+import mesh
+
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+_MOVE_S = 6.0
+_VERDICT_S = 30.0
+
+SPECS = [
+    mesh.NodeSpec(
+        name=f"kvoty-{version}-{index}",
+        data_centre=data_centre,
+        service="kvoty",
+        version=version,
+    )
+    for version in ("v1", "v2", "v3")
+    for index, data_centre in enumerate(("lipno", "svet"))
+]
+
+
+def main() -> int:
+    """Return the exit code of the demonstration."""
+    with tempfile.TemporaryDirectory() as name:
+        demo = mesh.Mesh(pathlib.Path(name), {"relay": {"roots": 1}})
+        try:
+            return _run(demo)
+        finally:
+            demo.stop()
+
+
+def _run(demo: mesh.Mesh) -> int:
+    demo.start_log()
+    for spec in SPECS:
+        demo.start_node(spec)
+    demo.wait_ready()
+    everyone = len(SPECS)
+    if not demo.wait_until(lambda: _members(demo) == everyone, 20.0):
+        print("the nodes did not find each other")
+        return 1
+    print(f"{everyone} nodes, 2 data centres, 1 service")
+    first = {
+        "name": "first",
+        "add": {
+            "services": [{"name": "kvoty"}],
+            "routes": [{"prefix": "/kvoty", "service": "kvoty"}],
+        },
+        "shares": [{"service": "kvoty", "percent_by_version": {"v1": 100}}],
+    }
+    started_s = time.monotonic()
+    print(demo.publish(first, "--wait").stdout.rstrip())
+    print(f"converged in {time.monotonic() - started_s:.2f} s")
+    stop = threading.Event()
+    callers = threading.Thread(target=_call, args=(demo, stop))
+    callers.start()
+    try:
+        done = _move(demo, "to-v2", "v2", "done")
+        demo.set_behaviour("kvoty-v3-0", fail=0.8)
+        demo.set_behaviour("kvoty-v3-1", fail=0.8)
+        back = _move(demo, "to-v3", "v3", "rolled-back")
+    finally:
+        stop.set()
+        callers.join()
+    return 0 if done and back else 1
+
+
+def _members(demo: mesh.Mesh) -> int:
+    return min(
+        int(str(demo.status(name)["serving"])) for name in demo.nodes_by_name
+    )
+
+
+def _move(demo: mesh.Mesh, name: str, version: str, verdict: str) -> bool:
+    by = datetime.datetime.now(datetime.UTC) + datetime.timedelta(
+        seconds=_MOVE_S
+    )
+    release = {
+        "name": name,
+        "shares": [
+            {
+                "service": "kvoty",
+                "percent_by_version": {version: 100},
+                "by": by.isoformat(),
+            }
+        ],
+    }
+    print(demo.publish(release).stdout.rstrip())
+    wanted = f"move {name}/kvoty: {verdict}"
+    status = ("status", "--log", f"http://{demo.log}")
+    found = demo.wait_until(
+        lambda: wanted in demo.note(*status).stdout, _VERDICT_S
+    )
+    for line in demo.note(*status).stdout.splitlines():
+        if line.startswith(f"move {name}/"):
+            print(line)
+    return found
+
+
+def _call(demo: mesh.Mesh, stop: threading.Event) -> None:
+    addresses = [node.callers for node in demo.nodes_by_name.values()]
+    index = 0
+    while not stop.is_set():
+        index += 1
+        url = f"http://{addresses[index % len(addresses)]}/kvoty/{index}"
+        try:
+            http.send(http.Request(method="GET", url=url))
+        except errors.ArbutusstallError as exc:
+            print(exc)
+        time.sleep(0.01)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/mesh.py
@@ -0,0 +1,257 @@
+"""Starts a mesh of real processes on loopback and steers it."""
+
+from collections import abc
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+_START_S = 20.0
+_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeSpec:
+    """A node to start and the target beside it."""
+
+    name: str
+    data_centre: str
+    service: str
+    version: str
+    slots: int = 20
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunningNode:
+    """The addresses of a started node and its target."""
+
+    spec: NodeSpec
+    callers: str
+    inbound: str
+    relay: str
+    admin: str
+    target: str
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+class Mesh:
+    """Processes of one test; `stop` ends every one of them by pid."""
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        settings: abc.Mapping[str, object] | None = None,
+        keep_s: float = 3600.0,
+        rate: int = 300,
+    ) -> None:
+        self.directory = directory
+        self.nodes_by_name: dict[str, RunningNode] = {}
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._settings = settings or {}
+        self._log_options = (str(keep_s), str(rate))
+        self.log = free_addresses(1)[0]
+
+    def start_log(self) -> None:
+        """Start the stand-in of the platform log."""
+        port = self.log.rpartition(":")[2]
+        self.spawn("log", "-m", "standins.log", port, *self._log_options)
+        self.wait_for(f"http://{self.log}/counts")
+
+    def start_node(self, spec: NodeSpec) -> RunningNode:
+        """Start a node and its target."""
+        if spec.name not in self.nodes_by_name:
+            callers, inbound, relay, admin, target = free_addresses(5)
+            self.nodes_by_name[spec.name] = RunningNode(
+                spec=spec,
+                callers=callers,
+                inbound=inbound,
+                relay=relay,
+                admin=admin,
+                target=target,
+            )
+        running = self.nodes_by_name[spec.name]
+        path = self.directory / f"{spec.name}.settings.json"
+        path.write_text(json.dumps(self._node_settings(running)))
+        self.spawn(
+            spec.name,
+            "-m",
+            "arbutusstall._cli.node",
+            "run",
+            "--settings",
+            str(path),
+        )
+        self.start_target(spec.name)
+        return running
+
+    def start_target(self, name: str) -> None:
+        """Start the target beside the node ``name``."""
+        running = self.nodes_by_name[name]
+        spec = running.spec
+        self.spawn(
+            f"{name}-target",
+            "-m",
+            "standins.target",
+            running.target.rpartition(":")[2],
+            running.admin,
+            spec.service,
+            spec.version,
+            str(spec.slots),
+        )
+
+    def wait_ready(self) -> None:
+        """Wait until every node answers on its admin address."""
+        for running in self.nodes_by_name.values():
+            self.wait_for(f"http://{running.admin}/healthz")
+
+    def note(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run arbutusstall-note."""
+        return subprocess.run(
+            [sys.executable, "-m", "arbutusstall._cli.note", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def publish(
+        self, release: abc.Mapping[str, object], *options: str
+    ) -> subprocess.CompletedProcess[str]:
+        """Write a release file and publish it."""
+        path = self.directory / f"{release['name']}.note.json"
+        path.write_text(json.dumps(release))
+        return self.note(
+            "publish", str(path), "--log", f"http://{self.log}", *options
+        )
+
+    def status(self, name: str) -> dict[str, object]:
+        """Return the status of the node ``name``."""
+        admin = self.nodes_by_name[name].admin
+        return self.get_json(f"http://{admin}/v1/status")
+
+    def get_json(self, url: str) -> dict[str, object]:
+        """Return the JSON object that ``url`` answers."""
+        response = http.send(http.Request(method="GET", url=url))
+        return msgspec.json.decode(response.body)
+
+    def log_counts(self) -> dict[str, object]:
+        """Return the counters of the log stand-in."""
+        return self.get_json(f"http://{self.log}/counts")
+
+    def set_log_faults(self, **faults: object) -> None:
+        """Inject faults into the log stand-in."""
+        self.post(f"http://{self.log}/faults", faults)
+
+    def set_behaviour(self, name: str, **behaviour: object) -> None:
+        """Change how the target beside the node ``name`` answers."""
+        target = self.nodes_by_name[name].target
+        self.post(f"http://{target}/behaviour", behaviour)
+
+    def executions(self, name: str) -> list[str]:
+        """Return the request ids that a target has run."""
+        target = self.nodes_by_name[name].target
+        response = http.send(
+            http.Request(method="GET", url=f"http://{target}/executions")
+        )
+        return msgspec.json.decode(response.body, type=list[str])
+
+    def post(self, url: str, body: object) -> http.Response:
+        """Post a JSON body."""
+        return http.send(
+            http.Request(
+                method="POST", url=url, body=msgspec.json.encode(body)
+            )
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this mesh."""
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        process = self.processes_by_name.pop(name)
+        process.kill()
+        process.wait(timeout=10)
+
+    def wait_until(
+        self, condition: abc.Callable[[], bool], limit_s: float
+    ) -> bool:
+        """Poll ``condition``; return whether it held in time."""
+        end_s = time.monotonic() + limit_s
+        while time.monotonic() < end_s:
+            try:
+                if condition():
+                    return True
+            except errors.ArbutusstallError:
+                pass
+            time.sleep(_POLL_S)
+        return False
+
+    def wait_for(self, url: str) -> None:
+        """Wait until ``url`` answers.
+
+        Raises:
+            TimeoutError: It did not answer in time.
+        """
+        request = http.Request(method="GET", url=url)
+        if not self.wait_until(
+            lambda: http.send(request).status < 500, _START_S
+        ):
+            raise TimeoutError(url)
+
+    def log_paths(self) -> list[pathlib.Path]:
+        """Return the event log files of all processes."""
+        return sorted(self.directory.glob("*.log"))
+
+    def stop(self) -> None:
+        """End every process of this mesh."""
+        for process in self.processes_by_name.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes_by_name.values():
+            process.wait(timeout=10)
+        self.processes_by_name.clear()
+
+    def spawn(self, name: str, *arguments: str) -> None:
+        """Start a Python process that logs to ``NAME.log``."""
+        with (self.directory / f"{name}.log").open("ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def _node_settings(self, running: RunningNode) -> dict[str, object]:
+        return {
+            "node": running.spec.name,
+            "data_centre": running.spec.data_centre,
+            "addresses": {
+                "callers": running.callers,
+                "inbound": running.inbound,
+                "relay": running.relay,
+                "admin": running.admin,
+            },
+            "log": {"url": f"http://{self.log}"},
+            **self._settings,
+        }
--- /dev/null
+++ b/tests/standins/log.py
@@ -0,0 +1,161 @@
+"""Stand-in for the platform log.
+
+Usage: python -m standins.log PORT [KEEP_S [RATE]]. Faults are set by
+``POST /faults`` with a JSON object of `Faults` fields.
+"""
+
+import dataclasses
+import sys
+import threading
+import time
+
+import msgspec
+from werkzeug import serving
+from werkzeug import wrappers
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Faults:
+    """Injected faults.
+
+    Attributes:
+        out: Answer every request with 503.
+        delay_s: Wait before each answer.
+        lose_answers: Store appends but break their answers off.
+    """
+
+    out: bool = False
+    delay_s: float = 0.0
+    lose_answers: bool = False
+
+
+class Log:
+    """Keeps records in memory for a limited time."""
+
+    def __init__(self, keep_s: float, rate: int) -> None:
+        self.faults = Faults()
+        self.appends = 0
+        self.reads = 0
+        self._keep_s = keep_s
+        self._rate = rate
+        self._first = 0
+        self._entries: list[tuple[float, str]] = []
+        self._window = (0, 0)
+        self._changed = threading.Condition()
+
+    def append(self, data: str) -> int | None:
+        """Store a record; None if the rate is exceeded."""
+        with self._changed:
+            second = int(time.monotonic())
+            count = self._window[1] if self._window[0] == second else 0
+            if count >= self._rate:
+                return None
+            self._window = (second, count + 1)
+            self.appends += 1
+            self._entries.append((time.monotonic(), data))
+            self._changed.notify_all()
+            return self._first + len(self._entries) - 1
+
+    def read(self, offset: int, wait_s: float) -> dict[str, object]:
+        """Return the entries from ``offset`` on."""
+        end_s = time.monotonic() + wait_s
+        with self._changed:
+            self.reads += 1
+            while self._next() <= offset:
+                left_s = end_s - time.monotonic()
+                if left_s <= 0:
+                    break
+                self._changed.wait(left_s)
+            self._expire()
+            start = max(offset, self._first)
+            found = self._entries[start - self._first :][:1000]
+            return {
+                "first_kept": self._first,
+                "next_offset": self._next(),
+                "entries": [
+                    {"offset": start + index, "data": data}
+                    for index, (_, data) in enumerate(found)
+                ],
+            }
+
+    def _next(self) -> int:
+        return self._first + len(self._entries)
+
+    def _expire(self) -> None:
+        oldest_s = time.monotonic() - self._keep_s
+        while self._entries and self._entries[0][0] < oldest_s:
+            del self._entries[0]
+            self._first += 1
+
+
+class App:
+    """The HTTP face of the log."""
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+
+    def __call__(self, environ, start_response):
+        """Answer one request (WSGI)."""
+        request = wrappers.Request(environ)
+        return self._answer(request)(environ, start_response)
+
+    def _answer(self, request):
+        if request.path == "/faults":
+            self._log.faults = msgspec.json.decode(
+                request.get_data(), type=Faults
+            )
+            return wrappers.Response("ok\n")
+        if request.path == "/counts":
+            return _json(
+                {"appends": self._log.appends, "reads": self._log.reads}
+            )
+        faults = self._log.faults
+        time.sleep(faults.delay_s)
+        if faults.out:
+            return wrappers.Response("out\n", 503)
+        if request.method == "POST":
+            return self._append(request, faults)
+        offset = request.args.get("from", 0, type=int)
+        wait_ms = request.args.get("wait_ms", 0, type=int)
+        answer = self._log.read(offset, wait_ms / 1000)
+        if self._log.faults.out:
+            return wrappers.Response("out\n", 503)
+        return _json(answer)
+
+    def _append(self, request, faults):
+        offset = self._log.append(request.get_data(as_text=True))
+        if offset is None:
+            return wrappers.Response("too many appends\n", 429)
+        if faults.lose_answers:
+            return wrappers.Response("lost\n", 504)
+        return _json({"offset": offset})
+
+
+def _json(body):
+    return wrappers.Response(
+        msgspec.json.encode(body), content_type="application/json"
+    )
+
+
+class _Handler(serving.WSGIRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log(self, type, message, *args):
+        """Write no access log."""
+
+
+def main() -> None:
+    """Serve until killed."""
+    port, keep_s, rate = (sys.argv[1:] + ["3600", "300"])[:3]
+    log = Log(float(keep_s), int(rate))
+    serving.run_simple(
+        "127.0.0.1",
+        int(port),
+        App(log),
+        threaded=True,
+        request_handler=_Handler,
+    )
+
+
+if __name__ == "__main__":
+    main()
