Split the fold and drive many cores in one process

Cause: rollouts and releases would be changed side by side in one file. Change: rollouts have a module of their own in the fold, the HTTP log client moves to the shell, a small driver delivers events and time.

--- a/src/arbutusstall/_cli/note.py
+++ b/src/arbutusstall/_cli/note.py
@@ -19,6 +19,7 @@
 from arbutusstall._log import reader
 from arbutusstall._log import records
 from arbutusstall._shell import http
+from arbutusstall._shell import log_client
 from arbutusstall._tables import agreed
 
 _POLL_S = 0.1
@@ -47,7 +48,7 @@
             raise errors.InvalidFile(
                 step="note.options", peer="--log", reason="URL is needed"
             )
-        return client.HttpLogClient(_settings.LogSettings(url=url))
+        return log_client.HttpLogClient(_settings.LogSettings(url=url))
 
     def handle(self) -> int:
         """Run the command and map errors to exit codes."""
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -5,6 +5,7 @@
 
 from arbutusstall import _notes
 from arbutusstall._log import records
+from arbutusstall._log import rollouts
 from arbutusstall._tables import agreed as tables
 
 _RECORD_IDS_KEPT = 20_000
@@ -31,9 +32,9 @@
         case records.LeaseRenewal():
             return _renew(state, offset, record)
         case records.ShareDecision():
-            return _shares(state, offset, record)
+            return rollouts.apply_shares(state, offset, record)
         case records.Verdict():
-            return _verdict(state, offset, record)
+            return rollouts.apply_verdict(state, offset, record)
         case records.RootRecord():
             return _root(state, offset, record)
 
@@ -126,7 +127,7 @@
     services = dict(old.services_by_name)
     routes = dict(old.routes_by_prefix)
     shares = dict(old.shares_by_service)
-    rollouts = dict(old.rollouts_by_id)
+    moves = dict(old.rollouts_by_id)
     for service in note.add.services + note.change.services:
         services[service.name] = tables.Service(name=service.name)
     for route in note.add.routes + note.change.routes:
@@ -142,8 +143,8 @@
         services.pop(name, None)
         shares.pop(name, None)
     for item in note.shares:
-        rollout = _new_rollout(shares, offset, record, item)
-        rollouts[rollout.rollout_id] = rollout
+        rollout = rollouts.begin(shares, offset, record, item)
+        moves[rollout.rollout_id] = rollout
         if rollout.state is tables.RolloutState.DONE:
             shares[item.service] = tables.Shares(
                 service=item.service, percent_by_version=rollout.goal
@@ -153,35 +154,11 @@
         services_by_name=services,
         routes_by_prefix=routes,
         shares_by_service=shares,
-        rollouts_by_id=rollouts,
+        rollouts_by_id=moves,
         blocked=old.blocked,
     )
 
 
-def _new_rollout(
-    shares: abc.Mapping[str, tables.Shares],
-    offset: int,
-    record: records.ReleaseRecord,
-    item: _notes.ShareItem,
-) -> tables.Rollout:
-    current = shares.get(item.service)
-    by_s = item.by.timestamp() if item.by else record.published_s
-    return tables.Rollout(
-        rollout_id=f"{record.note.name}/{item.service}",
-        release=record.note.name,
-        service=item.service,
-        start=current.percent_by_version if current else {},
-        goal=item.percent_by_version,
-        started_s=record.published_s,
-        by_s=by_s,
-        state=tables.RolloutState.RUNNING
-        if current
-        else tables.RolloutState.DONE,
-        reason="" if current else "first version of the service",
-        offset=offset,
-    )
-
-
 def _claim(
     state: tables.Agreed, offset: int, record: records.LeaseClaim
 ) -> tables.Agreed:
@@ -200,75 +177,6 @@
     return dataclasses.replace(state, lease=lease)
 
 
-def _running(
-    state: tables.Agreed, lease: int, rollout_id: str
-) -> tables.Rollout | None:
-    rollout = state.snapshot.rollouts_by_id.get(rollout_id)
-    if lease != state.lease.offset or rollout is None:
-        return None
-    if rollout.state is not tables.RolloutState.RUNNING:
-        return None
-    return rollout
-
-
-def _shares(
-    state: tables.Agreed, offset: int, record: records.ShareDecision
-) -> tables.Agreed:
-    rollout = _running(state, record.lease, record.rollout_id)
-    if rollout is None or record.step != rollout.step + 1:
-        return state
-    stepped = dataclasses.replace(rollout, step=record.step)
-    return _with_rollout(
-        state, offset, stepped, percent=record.percent_by_version
-    )
-
-
-def _verdict(
-    state: tables.Agreed, offset: int, record: records.Verdict
-) -> tables.Agreed:
-    rollout = _running(state, record.lease, record.rollout_id)
-    if rollout is None:
-        return state
-    ended = dataclasses.replace(
-        rollout,
-        state=tables.RolloutState.DONE
-        if record.done
-        else tables.RolloutState.ROLLED_BACK,
-        reason=record.reason,
-    )
-    percent = rollout.goal if record.done else rollout.start
-    return _with_rollout(state, offset, ended, percent=percent)
-
-
-def _with_rollout(
-    state: tables.Agreed,
-    offset: int,
-    rollout: tables.Rollout,
-    percent: abc.Mapping[str, float],
-) -> tables.Agreed:
-    old = state.snapshot
-    blocked = old.blocked
-    if rollout.state is tables.RolloutState.ROLLED_BACK:
-        blocked |= {
-            f"{rollout.service}/{version}"
-            for version in rollout.goal
-            if rollout.goal[version] > rollout.start.get(version, 0.0)
-        }
-    snapshot = dataclasses.replace(
-        old,
-        version=offset + 1,
-        rollouts_by_id={**old.rollouts_by_id, rollout.rollout_id: rollout},
-        shares_by_service={
-            **old.shares_by_service,
-            rollout.service: tables.Shares(
-                service=rollout.service, percent_by_version=percent
-            ),
-        },
-        blocked=blocked,
-    )
-    return dataclasses.replace(state, snapshot=snapshot)
-
-
 def _root(
     state: tables.Agreed, offset: int, record: records.RootRecord
 ) -> tables.Agreed:
--- /dev/null
+++ b/src/arbutusstall/_shell/log_client.py
@@ -0,0 +1,93 @@
+"""HTTP client of the platform log.
+
+``POST /records`` appends the body and answers ``{"offset": N}``.
+``GET /records?from=N&wait_ms=M`` answers ``{"first_kept": N,
+"next_offset": N, "entries": [{"offset": N, "data": TEXT}, ...]}`` as
+soon as there is an entry at or after ``from``, else after ``wait_ms``.
+"""
+
+import dataclasses
+
+import msgspec
+
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Entry:
+    offset: int
+    data: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _ReadAnswer:
+    first_kept: int
+    next_offset: int
+    entries: tuple[_Entry, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _AppendAnswer:
+    offset: int
+
+
+class HttpLogClient:
+    """Speaks to the platform log over HTTP."""
+
+    def __init__(self, settings: _settings.LogSettings) -> None:
+        self._settings = settings
+
+    def append(self, data: bytes) -> int:
+        """Store ``data`` and return its offset; see `LogClient`."""
+        body = self._request(
+            http.Request(
+                method="POST",
+                url=f"{self._settings.url}/records",
+                body=data,
+                timeout_s=self._settings.request_timeout_s,
+            ),
+            step="log.append",
+        )
+        return msgspec.json.decode(body, type=_AppendAnswer).offset
+
+    def read(self, offset: int, wait_s: float) -> _effects.LogRead:
+        """Return the entries from ``offset`` on; see `LogClient`."""
+        wait_ms = int(wait_s * 1000)
+        body = self._request(
+            http.Request(
+                method="GET",
+                url=f"{self._settings.url}/records"
+                f"?from={offset}&wait_ms={wait_ms}",
+                timeout_s=self._settings.request_timeout_s + wait_s,
+            ),
+            step="log.read",
+        )
+        answer = msgspec.json.decode(body, type=_ReadAnswer)
+        return _effects.LogRead(
+            entries=tuple(
+                _effects.LogEntry(
+                    offset=entry.offset, data=entry.data.encode()
+                )
+                for entry in answer.entries
+            ),
+            first_kept=answer.first_kept,
+            next_offset=answer.next_offset,
+        )
+
+    def _request(self, request: http.Request, step: str) -> bytes:
+        try:
+            response = http.send(request)
+        except errors.ArbutusstallError as exc:
+            raise errors.LogUnavailable(
+                step=step, peer=self._settings.url, reason=exc.reason
+            ) from exc
+        if response.status != 200:
+            raise errors.LogUnavailable(
+                step=step,
+                peer=self._settings.url,
+                reason=f"status {response.status}",
+            )
+        return response.body
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -9,11 +9,11 @@
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall import _settings
-from arbutusstall._log import client
 from arbutusstall._shell import admin
 from arbutusstall._shell import control
 from arbutusstall._shell import events
 from arbutusstall._shell import inbound
+from arbutusstall._shell import log_client
 from arbutusstall._shell import log_worker
 from arbutusstall._shell import outbound
 from arbutusstall._shell import relay
@@ -37,7 +37,7 @@
         self._outbound = outbound.Outbound(settings, self._inbound, self._log)
         self._relay = relay.Relay(settings.addresses.relay, self._loop)
         self._log_worker = log_worker.LogWorker(
-            client.HttpLogClient(settings.log), settings.log, self._loop
+            log_client.HttpLogClient(settings.log), settings.log, self._loop
         )
         self._callers = web.WebServer(
             settings.addresses.callers, self._outbound
--- /dev/null
+++ b/tests/driver.py
@@ -0,0 +1,212 @@
+"""Drives many node cores in one process with fakes at the interfaces.
+
+The fakes deliver log reads and messages after a fixed delay and count
+bytes; there is no model of machines or networks beyond that.
+"""
+
+from collections import abc
+import dataclasses
+import heapq
+import itertools
+import random
+
+from arbutusstall import protocols
+from arbutusstall import settings as node_settings
+from arbutusstall._log import records
+from arbutusstall._wire import messages
+
+_LOST_AFTER_S = 0.05
+
+
+@dataclasses.dataclass(kw_only=True)
+class Traffic:
+    """Bytes and messages that one node sent and received."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent: int = 0
+
+
+class Driver:
+    """Delivers events and time to cores; time only moves in `run`."""
+
+    def __init__(self, *, seed: int, delay_s: float = 0.002) -> None:
+        self.rng = random.Random(seed)
+        self.delay_s = delay_s
+        self.clock = protocols.ManualClock()
+        self.cores_by_name: dict[str, protocols.NodeCore] = {}
+        self.traffic_by_name: dict[str, Traffic] = {}
+        self.views_by_name: dict[str, protocols.View] = {}
+        self.emitted: list[tuple[float, str, protocols.Emit]] = []
+        self.entries: list[bytes] = []
+        self.first_kept = 0
+        self.appends = 0
+        self.reads = 0
+        self.log_out = False
+        self.frozen: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self._links: set[tuple[str, str]] = set()
+        self._followers: set[str] = set()
+        self._names_by_address: dict[str, str] = {}
+        self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def add(self, settings: node_settings.NodeSettings) -> None:
+        """Start a node; an earlier one of the same name is replaced."""
+        name = settings.node
+        now = self.clock.now()
+        core = protocols.NodeCore(
+            settings,
+            random.Random(self.rng.random()),
+            int(now.wall_s * 1000),
+        )
+        self.cores_by_name[name] = core
+        self.traffic_by_name.setdefault(name, Traffic())
+        self._names_by_address[settings.addresses.relay] = name
+        self._carry_out(name, core.start(now))
+        first_s = settings.tick_s * self.rng.random()
+        self.after(first_s, lambda: self._tick(name, core))
+
+    def kill(self, name: str) -> None:
+        """End a node without notice."""
+        del self.cores_by_name[name]
+        self._followers.discard(name)
+        for link in [link for link in self._links if name in link]:
+            self._drop(*link)
+
+    def after(self, seconds: float, action: abc.Callable[[], None]) -> None:
+        """Call ``action`` in ``seconds`` of the driver's time."""
+        due_s = self.clock.now().mono_s + seconds
+        heapq.heappush(self._queue, (due_s, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Let ``seconds`` pass."""
+        end_s = self.clock.now().mono_s + seconds
+        while self._queue and self._queue[0][0] <= end_s:
+            due_s, _, action = heapq.heappop(self._queue)
+            self.clock.advance(max(0.0, due_s - self.clock.now().mono_s))
+            action()
+        self.clock.advance(max(0.0, end_s - self.clock.now().mono_s))
+
+    def put(self, name: str, event: protocols.Event) -> None:
+        """Hand an event to a node now."""
+        core = self.cores_by_name.get(name)
+        if core is None:
+            return
+        if name in self.frozen:
+            self.after(0.1, lambda: self.put(name, event))
+            return
+        self._carry_out(name, core.handle(event, self.clock.now()))
+
+    def append(self, record: records.Record) -> int:
+        """Store a record as an operator would; return its offset."""
+        self.entries.append(records.encode(record))
+        self.appends += 1
+        offset = len(self.entries) - 1
+        for name in sorted(self._followers):
+            self.after(
+                self.delay_s, lambda name=name: self._read(name, offset)
+            )
+        return offset
+
+    def _tick(self, name: str, core: protocols.NodeCore) -> None:
+        if self.cores_by_name.get(name) is not core:
+            return
+        if name not in self.frozen:
+            self._carry_out(name, core.tick(self.clock.now()))
+        self.after(core.tables.settings.tick_s, lambda: self._tick(name, core))
+
+    def _carry_out(
+        self, name: str, effects: abc.Iterable[protocols.Effect]
+    ) -> None:
+        for effect in effects:
+            match effect:
+                case protocols.Append():
+                    self.after(
+                        self.delay_s,
+                        lambda record=effect.record: self._append(
+                            name, record
+                        ),
+                    )
+                case protocols.FollowLog():
+                    self._followers.add(name)
+                    self.after(
+                        self.delay_s,
+                        lambda offset=effect.offset: self._read(name, offset),
+                    )
+                case protocols.StopLog():
+                    self._followers.discard(name)
+                case protocols.Connect():
+                    self._connect(name, effect)
+                case protocols.Disconnect():
+                    self._drop(name, effect.peer)
+                case protocols.Send():
+                    self._send(name, effect.peer, effect.message)
+                case protocols.PutInForce():
+                    self.views_by_name[name] = effect.view
+                case protocols.Emit():
+                    self.emitted.append(
+                        (self.clock.now().mono_s, name, effect)
+                    )
+
+    def _append(self, name: str, record: records.Record) -> None:
+        if self.log_out:
+            self.put(name, protocols.LogFailed(reason="out", record=record))
+            return
+        offset = self.append(record)
+        self.put(name, protocols.Appended(offset=offset, record=record))
+
+    def _read(self, name: str, offset: int) -> None:
+        if name not in self._followers:
+            return
+        if self.log_out:
+            self.put(name, protocols.LogFailed(reason="out"))
+            self.after(0.25, lambda: self._read(name, offset))
+            return
+        self.reads += 1
+        start = max(offset, self.first_kept)
+        self.put(
+            name,
+            protocols.LogRead(
+                entries=tuple(
+                    protocols.LogEntry(offset=start + index, data=data)
+                    for index, data in enumerate(self.entries[start:])
+                ),
+                first_kept=self.first_kept,
+                next_offset=len(self.entries),
+            ),
+        )
+
+    def _connect(self, name: str, effect: protocols.Connect) -> None:
+        other = self._names_by_address.get(effect.address, "")
+        down = other not in self.cores_by_name or other in self.frozen
+        if down or frozenset((name, other)) in self.cut:
+            lost = protocols.LinkLost(peer=effect.address, reason="down")
+            self.after(_LOST_AFTER_S, lambda: self.put(name, lost))
+            return
+        self._links.add((name, other))
+        self._links.add((other, name))
+        self._send(name, other, effect.hello)
+
+    def _send(self, name: str, peer: str, message: messages.Message) -> None:
+        if (name, peer) not in self._links:
+            return
+        size = len(messages.encode(message))
+        self.traffic_by_name[name].sent_bytes += size
+        self.traffic_by_name[name].sent += 1
+        self.traffic_by_name[peer].received_bytes += size
+        received = protocols.Received(peer=name, message=message)
+        self.after(
+            self.delay_s,
+            lambda: (name, peer) in self._links and self.put(peer, received),
+        )
+
+    def _drop(self, name: str, peer: str) -> None:
+        for one, other in ((name, peer), (peer, name)):
+            if (one, other) in self._links:
+                self._links.discard((one, other))
+                lost = protocols.LinkLost(peer=other, reason="closed")
+                self.after(
+                    _LOST_AFTER_S,
+                    lambda one=one, lost=lost: self.put(one, lost),
+                )
