Put test links behind a fault-injecting proxy

Ruled out: a proxy process for each link (an HTTP face of its own just to steer it); threads in the behave process do and are steered by calls. Test ports come from outside the range of outgoing ports, so that a client of another process cannot take one between choice and use. Before: no fault but kill and stop.

--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -54,8 +54,8 @@
             node=settings.node,
             data_centre=settings.data_centre,
             incarnation=incarnation,
-            inbound=settings.addresses.inbound,
-            relay=settings.addresses.relay,
+            inbound=settings.advertise.inbound or settings.addresses.inbound,
+            relay=settings.advertise.relay or settings.addresses.relay,
         )
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
         self.tables.members_by_node[member.node] = member
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -23,6 +23,18 @@
     admin: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdvertiseSettings:
+    """Addresses that others use, ``IP:PORT``, where they differ.
+
+    An empty one is the same as in `AddressSettings`.
+    """
+
+    inbound: str = ""
+    relay: str = ""
+    admin: str = ""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LogSettings:
     """How to reach the platform log; times in seconds."""
@@ -79,6 +91,8 @@
         data_centre: Where it runs, such as ``"lipno"``.
         region: Region of the data centre.
         seeds: Relay addresses to ask when the log is out at start.
+        advertise: Addresses told to others, such as those of a
+            translating gateway before this node.
     """
 
     node: str
@@ -87,6 +101,7 @@
     log: LogSettings
     region: str = "main"
     seeds: tuple[str, ...] = ()
+    advertise: AdvertiseSettings = AdvertiseSettings()
     lease: LeaseSettings = LeaseSettings()
     relay: RelaySettings = RelaySettings()
     rollout: RolloutSettings = RolloutSettings()
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -105,7 +105,8 @@
         node=own.node,
         data_centre=own.data_centre,
         address=own.relay,
-        admin=tables.settings.addresses.admin,
+        admin=tables.settings.advertise.admin
+        or tables.settings.addresses.admin,
     )
     return [_effects.Append(record=record)]
 
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -5,17 +5,21 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 
+import fault_proxy
 import msgspec
 
 from arbutusstall import errors
 from arbutusstall._shell import http
 
+# Outside of the range that the system draws outgoing ports from.
+_PORTS = range(10_000, 32_000)
 _START_S = 20.0
 _POLL_S = 0.05
 
@@ -45,9 +49,15 @@
 
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        item = socket.socket()
+        try:
+            item.bind(("127.0.0.1", random.choice(_PORTS)))
+        except OSError:
+            item.close()
+            continue
+        sockets.append(item)
     addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
     for item in sockets:
         item.close()
@@ -55,7 +65,14 @@
 
 
 class Mesh:
-    """Processes of one test; `stop` ends every one of them by pid."""
+    """Processes of one test; `stop` ends every one of them by pid.
+
+    Attributes:
+        proxied: Kinds of address that are put behind a fault proxy for
+            each node, of ``inbound``, ``relay``, ``target``, ``callers``
+            and ``log``.
+        proxies_by_name: The proxies, named ``"NODE/KIND"``.
+    """
 
     def __init__(
         self,
@@ -63,10 +80,14 @@
         settings: abc.Mapping[str, object] | None = None,
         keep_s: float = 3600.0,
         rate: int = 300,
+        proxied: abc.Collection[str] = (),
     ) -> None:
         self.directory = directory
         self.nodes_by_name: dict[str, RunningNode] = {}
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.proxied = frozenset(proxied)
+        self.proxies_by_name: dict[str, fault_proxy.FaultProxy] = {}
+        self._listen_by_node: dict[str, dict[str, str]] = {}
         self._settings = settings or {}
         self._log_options = (str(keep_s), str(rate))
         self.log = free_addresses(1)[0]
@@ -80,15 +101,7 @@
     def start_node(self, spec: NodeSpec) -> RunningNode:
         """Start a node and its target."""
         if spec.name not in self.nodes_by_name:
-            callers, inbound, relay, admin, target = free_addresses(5)
-            self.nodes_by_name[spec.name] = RunningNode(
-                spec=spec,
-                callers=callers,
-                inbound=inbound,
-                relay=relay,
-                admin=admin,
-                target=target,
-            )
+            self._add_node(spec)
         running = self.nodes_by_name[spec.name]
         path = self.directory / f"{spec.name}.settings.json"
         path.write_text(json.dumps(self._node_settings(running)))
@@ -111,11 +124,12 @@
             f"{name}-target",
             "-m",
             "standins.target",
-            running.target.rpartition(":")[2],
+            self._listen_by_node[name]["target"].rpartition(":")[2],
             running.admin,
             spec.service,
             spec.version,
             str(spec.slots),
+            running.target,
         )
 
     def wait_ready(self) -> None:
@@ -230,6 +244,8 @@
         for process in self.processes_by_name.values():
             process.wait(timeout=10)
         self.processes_by_name.clear()
+        for proxy in self.proxies_by_name.values():
+            proxy.stop()
 
     def spawn(self, name: str, *arguments: str) -> None:
         """Start a Python process that logs to ``NAME.log``."""
@@ -242,16 +258,40 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    def _add_node(self, spec: NodeSpec) -> None:
+        kinds = ("callers", "inbound", "relay", "admin", "target")
+        listen = dict(zip(kinds, free_addresses(len(kinds)), strict=True))
+        self._listen_by_node[spec.name] = listen
+        seen = {
+            kind: self._behind_proxy(spec.name, kind, listen[kind])
+            for kind in kinds
+        }
+        self.nodes_by_name[spec.name] = RunningNode(spec=spec, **seen)
+
+    def _behind_proxy(self, name: str, kind: str, address: str) -> str:
+        if kind not in self.proxied:
+            return address
+        listen = free_addresses(1)[0]
+        proxy = fault_proxy.FaultProxy(listen, address)
+        self.proxies_by_name[f"{name}/{kind}"] = proxy
+        return listen
+
     def _node_settings(self, running: RunningNode) -> dict[str, object]:
+        name = running.spec.name
+        listen = self._listen_by_node[name]
+        proxy = self.proxies_by_name.get(f"{name}/log")
+        if proxy is None:
+            log = self._behind_proxy(name, "log", self.log)
+        else:
+            log = proxy.listen
         return {
-            "node": running.spec.name,
+            "node": name,
             "data_centre": running.spec.data_centre,
             "addresses": {
-                "callers": running.callers,
-                "inbound": running.inbound,
-                "relay": running.relay,
-                "admin": running.admin,
+                kind: listen[kind]
+                for kind in ("callers", "inbound", "relay", "admin")
             },
-            "log": {"url": f"http://{self.log}"},
+            "advertise": {"inbound": running.inbound, "relay": running.relay},
+            "log": {"url": f"http://{log}"},
             **self._settings,
         }
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -1,6 +1,7 @@
 """Stand-in for a target.
 
-Usage: python -m standins.target PORT ADMIN SERVICE VERSION [SLOTS].
+Usage: python -m standins.target PORT ADMIN SERVICE VERSION [SLOTS
+[ANNOUNCED]]. ANNOUNCED is the address to announce, if another.
 Announces itself to the node's ADMIN address. ``POST /behaviour`` sets
 `Behaviour`; ``GET /executions`` lists the request ids that were run.
 """
@@ -101,12 +102,13 @@
 
 def main() -> None:
     """Serve until killed."""
-    port, admin, service, version, slots = (sys.argv[1:] + ["20"])[:5]
+    port, admin, service, version, *rest = sys.argv[1:]
+    slots, announced = (rest + ["20", f"127.0.0.1:{port}"][len(rest) :])[:2]
     body = msgspec.json.encode(
         {
             "service": service,
             "version": version,
-            "address": f"127.0.0.1:{port}",
+            "address": announced,
             "slots": int(slots),
         }
     )
