Check the ten invariants over a merged time line

Cause: the time line program wanted a subcommand, merged by wall clock alone, and had no checks. It also showed no event of a node: the log formatter wrote the event's name as "msg", so no line was parsed. The target stand-in writes a line per execution, /v1/config shows what calls are routed by, and usage errors end with exit code 2.

--- a/src/arbutusstall/_cli/timeline.py
+++ b/src/arbutusstall/_cli/timeline.py
@@ -8,46 +8,88 @@
 
 from arbutusstall import errors
 from arbutusstall._cli import program
+from arbutusstall._timeline import checks
+from arbutusstall._timeline import history
 from arbutusstall._timeline import lines
+from arbutusstall._timeline import report
+from arbutusstall._timeline import skew
+from arbutusstall._timeline import verdicts
 
+_FORMATS = ("text", "json")
 
-class MergeCommand(command.Command):  # type: ignore[misc]
+
+class TimelineCommand(command.Command):  # type: ignore[misc]
     """Merges the logs of many processes."""
 
-    name = "merge"
+    name = "arbutusstall-timeline"
     description = "Merge key=value logs into one ordered time line."
     arguments = [
         helpers.argument("files", description="Log files.", multiple=True)
     ]
     options = [
-        helpers.option("request", description="Only this id.", flag=False),
+        helpers.option(
+            "request", description="Only this request.", flag=False
+        ),
         helpers.option("move", description="Only this move.", flag=False),
+        helpers.option(
+            "check",
+            description="Check the invariants instead of printing lines.",
+            flag=True,
+        ),
+        helpers.option(
+            "format",
+            description="Output format: text or json.",
+            flag=False,
+            default="text",
+        ),
     ]
 
     def handle(self) -> int:
         """Return the exit code."""
+        if self.option("format") not in _FORMATS:
+            print("--format: neither text nor json", file=sys.stderr)
+            return program.EXIT_USAGE
         try:
-            paths = [pathlib.Path(name) for name in self.argument("files")]
-            merged = lines.merge(paths)
+            merged = skew.merge(self._runs())
         except errors.InvalidFile as exc:
             print(f"{exc.peer}: {exc.reason}", file=sys.stderr)
             return program.EXIT_REFUSED
-        for event in merged:
-            if self._wanted(event):
-                print(event.text)
+        for remark in report.render_skew(merged):
+            print(remark, file=sys.stderr)
+        if self.option("check"):
+            return self._check(merged)
+        for line in merged.lines:
+            if self._wanted(line):
+                print(report.render_line(line, self._as_json()))
+        return program.EXIT_OK
+
+    def _runs(self) -> dict[str, list[lines.Line]]:
+        runs: dict[str, list[lines.Line]] = {}
+        for name in self.argument("files"):
+            runs.update(lines.read_runs(pathlib.Path(name)))
+        return runs
+
+    def _check(self, merged: skew.Merged) -> int:
+        found = checks.run(history.build(merged.lines), verdicts.Limits())
+        print(report.render_verdicts(found, self._as_json()))
+        if any(verdict.violations for verdict in found):
+            return program.EXIT_REFUSED
         return program.EXIT_OK
 
-    def _wanted(self, event: lines.Line) -> bool:
+    def _as_json(self) -> bool:
+        return bool(self.option("format") == "json")
+
+    def _wanted(self, line: lines.Line) -> bool:
         request = self.option("request")
         move = self.option("move")
-        if request and event.fields.get("request") != request:
+        if request and line.get("request") != request:
             return False
-        return not move or event.fields.get("rollout") == move
+        return not move or line.get("rollout") == move
 
 
 def main() -> None:
     """Entry point."""
-    program.run("arbutusstall-timeline", MergeCommand())
+    program.run_single("arbutusstall-timeline", TimelineCommand())
 
 
 if __name__ == "__main__":
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -11,7 +11,9 @@
 from arbutusstall import _effects
 from arbutusstall._shell import control
 from arbutusstall._shell import inbound
+from arbutusstall._shell import outbound
 from arbutusstall._systems import distribution
+from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 
 
@@ -44,6 +46,21 @@
     serving: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigInForce:
+    """Answer of ``GET /v1/config``: what calls are routed by now.
+
+    Attributes:
+        incarnation: Names the process, as in the member table.
+        endpoints_by_service: Nodes whose targets take calls.
+    """
+
+    incarnation: int
+    snapshot: agreed.Snapshot
+    endpoints_by_service: abc.Mapping[str, tuple[str, ...]]
+    blocked: tuple[str, ...]
+
+
 class Admin:
     """A WSGI application for operators, scrapers and the target."""
 
@@ -52,15 +69,18 @@
         core: _core.NodeCore,
         loop: control.ControlLoop,
         proxy: inbound.Inbound,
+        calls: outbound.Outbound,
     ) -> None:
         self._core = core
         self._loop = loop
         self._proxy = proxy
+        self._calls = calls
         self._handlers = {
             ("GET", "/healthz"): self._healthy,
             ("GET", "/readyz"): self._ready,
             ("GET", "/metrics"): self._metrics,
             ("GET", "/v1/status"): self._status,
+            ("GET", "/v1/config"): self._config,
             ("POST", "/v1/announce"): self._announce,
             ("POST", "/v1/leave"): self._leave,
         }
@@ -112,6 +132,21 @@
             msgspec.json.encode(status), content_type="application/json"
         )
 
+    def _config(self, request: wrappers.Request) -> wrappers.Response:
+        view = self._calls.view
+        config = ConfigInForce(
+            incarnation=self._core.tables.member.incarnation,
+            snapshot=view.snapshot,
+            endpoints_by_service={
+                service: tuple(row.node for row in rows)
+                for service, rows in view.members_by_service.items()
+            },
+            blocked=tuple(sorted(view.blocked)),
+        )
+        return wrappers.Response(
+            msgspec.json.encode(config), content_type="application/json"
+        )
+
     def _announce(self, request: wrappers.Request) -> wrappers.Response:
         try:
             body = msgspec.json.decode(request.get_data(), type=Announcement)
--- a/src/arbutusstall/_shell/events.py
+++ b/src/arbutusstall/_shell/events.py
@@ -4,14 +4,27 @@
 import itertools
 import logging
 import sys
+from typing import Protocol
 
 import logfmter
 
-from arbutusstall import _settings
-
 LOG = logging.getLogger("arbutusstall")
 
 
+class Writer(Protocol):
+    """Names the process that writes events."""
+
+    @property
+    def node(self) -> str:
+        """Its name."""
+        ...
+
+    @property
+    def data_centre(self) -> str:
+        """Where it runs."""
+        ...
+
+
 class EventLog:
     """Writes events with the node's own fields added.
 
@@ -19,9 +32,9 @@
     that grows by one with each line of the process.
     """
 
-    def __init__(self, settings: _settings.NodeSettings) -> None:
-        self._node = settings.node
-        self._data_centre = settings.data_centre
+    def __init__(self, writer: Writer) -> None:
+        self._node = writer.node
+        self._data_centre = writer.data_centre
         self._sequence = itertools.count(1)
 
     def emit(
@@ -33,13 +46,14 @@
         """Write one line for ``event``."""
         if not LOG.isEnabledFor(level):
             return
-        extra = {
+        line = {
+            "event": event,
             "node": self._node,
             "data_centre": self._data_centre,
             "seq": next(self._sequence),
             **(fields or {}),
         }
-        LOG.log(level, event, extra=extra)
+        LOG.log(level, line)
 
 
 def configure(level: str) -> None:
@@ -47,8 +61,8 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         logfmter.Logfmter(
-            keys=["at", "ts", "event"],
-            mapping={"at": "levelname", "ts": "created", "event": "msg"},
+            keys=["at", "ts"],
+            mapping={"at": "levelname", "ts": "created"},
         )
     )
     LOG.handlers[:] = [handler]
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -44,7 +44,7 @@
         )
         self._admin = web.WebServer(
             settings.addresses.admin,
-            admin.Admin(self._core, self._loop, self._inbound),
+            admin.Admin(self._core, self._loop, self._inbound, self._outbound),
         )
         self._register()
 
--- a/src/arbutusstall/_shell/outbound.py
+++ b/src/arbutusstall/_shell/outbound.py
@@ -57,6 +57,11 @@
         self._lock = threading.Lock()
         self._channels_by_address: dict[str, grpc.Channel] = {}
 
+    @property
+    def view(self) -> _effects.View:
+        """What calls are routed by now."""
+        return self._view
+
     def put_in_force(self, effect: _effects.PutInForce) -> None:
         """Route by the effect's view from now on."""
         self._view = effect.view
--- /dev/null
+++ b/src/arbutusstall/_timeline/call_checks.py
@@ -0,0 +1,64 @@
+"""Checks of what callers got against what targets ran."""
+
+from arbutusstall._timeline import history
+from arbutusstall._timeline import verdicts
+
+
+def own_whole_answer(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that each answer is whole and of the caller's own request."""
+    findings = verdicts.Findings()
+    for request, call in found.calls_by_request.items():
+        if call.got is None or call.outcome != "answer":
+            continue
+        sent_digests = {
+            execution.finished.get("digest")
+            for execution in found.executions_by_request.get(request, ())
+            if execution.finished is not None
+        }
+        findings.judge(
+            call.got.get("digest") in sent_digests,
+            f"request {request} got an answer that no target gave to it",
+        )
+    return findings
+
+
+def not_run_is_true(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that what was refused as not run ran nowhere."""
+    findings = verdicts.Findings()
+    for request, call in found.calls_by_request.items():
+        if call.outcome != "not-run":
+            continue
+        runs = found.executions_by_request.get(request, [])
+        targets = ",".join(run.started.node for run in runs)
+        findings.judge(
+            not runs, f"request {request} was called not run, ran at {targets}"
+        )
+    return findings
+
+
+def at_most_once(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that no non-idempotent request ran twice.
+
+    Requests with the same idempotency key are one request.
+    """
+    findings = verdicts.Findings()
+    runs_by_key: dict[str, list[str]] = {}
+    for execution in found.executions:
+        line = execution.started
+        if line.get("method") in ("GET", "HEAD"):
+            continue
+        key = line.get("key")
+        name = f"key {key}" if key else f"request {line.get('request')}"
+        runs_by_key.setdefault(name, []).append(line.node)
+    for name, targets in runs_by_key.items():
+        findings.judge(
+            len(targets) == 1,
+            f"{name} ran {len(targets)} times, at {','.join(targets)}",
+        )
+    return findings
--- /dev/null
+++ b/src/arbutusstall/_timeline/config_checks.py
@@ -0,0 +1,167 @@
+"""Checks of what configuration the nodes had in force.
+
+Besides the nodes' own lines they read ``config-seen`` lines, which an
+observer writes of what a node's admin server shows, and
+``release-published`` lines of the operators' side.
+"""
+
+from collections import abc
+
+from arbutusstall._timeline import history
+from arbutusstall._timeline import lines
+from arbutusstall._timeline import verdicts
+
+
+def never_older(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that no process of a node goes back to an older version."""
+    findings = verdicts.Findings()
+    for run in found.runs_by_id.values():
+        _check_rising(findings, run.node, run.in_force)
+    seen: dict[tuple[str, str], list[lines.Line]] = {}
+    for line in found.of("config-seen"):
+        key = (line.get("seen"), line.get("incarnation"))
+        seen.setdefault(key, []).append(line)
+    for (node, _), group in seen.items():
+        _check_rising(findings, node, group)
+    return findings
+
+
+def no_dangling_route(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that each route seen in a node has its service there."""
+    findings = verdicts.Findings()
+    for line in found.of("config-seen"):
+        services = _items(line, "services")
+        for route in _items(line, "routes"):
+            service = route.rpartition(">")[2]
+            findings.judge(
+                service in services,
+                f"{line.get('seen')} has route {route} in version "
+                f"{line.get('version')} without the service",
+            )
+    return findings
+
+
+def never_in_part(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that a version is the same everywhere and holds releases whole."""
+    findings = verdicts.Findings()
+    content_by_version: dict[str, str] = {}
+    for line in found.of("config-seen"):
+        version = line.get("version")
+        content = line.get("content")
+        known = content_by_version.setdefault(version, content)
+        findings.judge(
+            content == known,
+            f"{line.get('seen')} has other content in version {version}",
+        )
+    for release in found.of("release-published"):
+        _check_whole(findings, found, release)
+    return findings
+
+
+def in_force_everywhere(
+    found: history.History, limits: verdicts.Limits
+) -> verdicts.Findings:
+    """Check that each accepted release reaches every live node in time."""
+    findings = verdicts.Findings()
+    accepted: dict[str, lines.Line] = {}
+    for line in found.of("release-accepted"):
+        accepted.setdefault(line.get("release"), line)
+    for name, line in accepted.items():
+        version = int(line.get("offset")) + 1
+        for run in found.runs_by_id.values():
+            _check_reached(findings, found, limits, name, line, version, run)
+    return findings
+
+
+def _check_rising(
+    findings: verdicts.Findings, node: str, group: abc.Iterable[lines.Line]
+) -> None:
+    newest = -1
+    for line in group:
+        version = int(line.get("version"))
+        findings.judge(
+            version >= newest,
+            f"{node} went from version {newest} to {version}",
+        )
+        newest = max(newest, version)
+
+
+def _check_whole(
+    findings: verdicts.Findings, found: history.History, release: lines.Line
+) -> None:
+    wanted = _items(release, "routes")
+    if len(wanted) < 2:
+        return
+    for line in found.of("config-seen"):
+        present = wanted & _items(line, "routes")
+        findings.judge(
+            present in (set(), wanted),
+            f"{line.get('seen')} has only {','.join(sorted(present))} of "
+            f"release {release.get('release')} in version "
+            f"{line.get('version')}",
+        )
+
+
+def _check_reached(
+    findings: verdicts.Findings,
+    found: history.History,
+    limits: verdicts.Limits,
+    release: str,
+    accepted: lines.Line,
+    version: int,
+    run: history.NodeRun,
+) -> None:
+    from_s = max(accepted.at_s, run.began_s)
+    due_s = _due_s(found, run.node, from_s, limits.in_force_s)
+    if due_s is None or due_s > found.end_s:
+        return
+    if run.ended_s is not None and run.ended_s <= due_s:
+        return
+    reached_s = min(
+        (
+            line.at_s
+            for line in run.in_force
+            if int(line.get("version")) >= version
+        ),
+        default=None,
+    )
+    findings.judge(
+        reached_s is not None and reached_s <= due_s,
+        f"{run.node} had release {release} in force "
+        + (
+            f"{reached_s - from_s:.3f} s after it could know of it"
+            if reached_s is not None
+            else "never"
+        ),
+    )
+
+
+def _due_s(
+    found: history.History, node: str, from_s: float, limit_s: float
+) -> float | None:
+    """Return when a node must have it; None if a fault never ended."""
+    due_s = from_s + limit_s
+    for fault in found.faults:
+        if not fault.touches(node) or fault.began.at_s > due_s:
+            continue
+        if fault.kind in _HARMLESS:
+            continue
+        if fault.ended_s is None:
+            return None
+        if fault.ended_s > from_s:
+            due_s = max(due_s, fault.ended_s + limit_s)
+    return due_s
+
+
+# Faults of targets, which do not hinder the distribution.
+_HARMLESS = frozenset({"bad-version", "target-crash", "target-slow"})
+
+
+def _items(line: lines.Line, name: str) -> set[str]:
+    return {item for item in line.get(name).split(",") if item}
--- a/src/arbutusstall/_timeline/lines.py
+++ b/src/arbutusstall/_timeline/lines.py
@@ -1,4 +1,4 @@
-"""Event lines and their order over all processes."""
+"""Event lines of one process and their parsing."""
 
 from collections import abc
 import dataclasses
@@ -8,6 +8,7 @@
 from arbutusstall import errors
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_ESCAPED = re.compile(r"\\(.)")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -17,46 +18,79 @@
     Attributes:
         ts_s: Wall clock of the writer, seconds since the epoch.
         seq: Sequence number within the writer's process.
+        node: Name of the writer.
+        run: Names one process: the file and the count of starts in it.
+        event: What happened.
+        text: The line as it was written.
+        at_s: Place on the common time line, seconds since the epoch;
+            equal to ``ts_s`` unless the writer's clock was corrected.
     """
 
     ts_s: float
     seq: int
     node: str
+    run: str
     event: str
     fields: abc.Mapping[str, str]
     text: str
+    at_s: float
 
+    def get(self, name: str) -> str:
+        """Return a field's value, empty if the line lacks it."""
+        return self.fields.get(name, "")
 
-def parse(text: str) -> Line | None:
+
+def parse(text: str, run: str = "") -> Line | None:
     """Return the event line in ``text``, or None if it holds none."""
-    fields = {name: value.strip('"') for name, value in _PAIR.findall(text)}
+    fields = {name: _plain(value) for name, value in _PAIR.findall(text)}
     try:
+        ts_s = float(fields["ts"])
         return Line(
-            ts_s=float(fields["ts"]),
+            ts_s=ts_s,
             seq=int(fields["seq"]),
             node=fields["node"],
+            run=run,
             event=fields["event"],
             fields=fields,
             text=text.rstrip("\n"),
+            at_s=ts_s,
         )
     except (KeyError, ValueError):
         return None
 
 
-def merge(paths: abc.Iterable[pathlib.Path]) -> list[Line]:
-    """Return the lines of all files by wall clock, then sequence.
+def read_runs(path: pathlib.Path) -> dict[str, list[Line]]:
+    """Return the lines of each process that wrote to a file.
+
+    Sequence numbers start at one with each process, and order the
+    lines of one process.
 
     Raises:
-        InvalidFile: A file cannot be read.
+        InvalidFile: The file cannot be read.
     """
-    found = []
-    for path in paths:
-        try:
-            content = path.read_text(errors="replace")
-        except OSError as exc:
-            raise errors.InvalidFile(
-                step="timeline.read", peer=str(path), reason=str(exc)
-            ) from exc
-        parsed = (parse(text) for text in content.splitlines())
-        found += [line for line in parsed if line is not None]
-    return sorted(found, key=lambda line: (line.ts_s, line.node, line.seq))
+    try:
+        content = path.read_text(errors="replace")
+    except OSError as exc:
+        raise errors.InvalidFile(
+            step="timeline.read", peer=str(path), reason=str(exc.strerror)
+        ) from exc
+    runs: dict[str, list[Line]] = {}
+    starts_by_node: dict[str, int] = {}
+    for text in content.splitlines():
+        line = parse(text)
+        if line is None:
+            continue
+        if line.seq == 1:
+            starts_by_node[line.node] = starts_by_node.get(line.node, 0) + 1
+        run = f"{path}#{line.node}#{starts_by_node.get(line.node, 0)}"
+        line = dataclasses.replace(line, run=run)
+        runs.setdefault(run, []).append(line)
+    for lines in runs.values():
+        lines.sort(key=lambda line: line.seq)
+    return runs
+
+
+def _plain(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return _ESCAPED.sub(r"\1", value[1:-1])
--- /dev/null
+++ b/src/arbutusstall/_timeline/report.py
@@ -0,0 +1,50 @@
+"""Renders time lines and verdicts as text or JSON."""
+
+from collections import abc
+
+import msgspec
+
+from arbutusstall._timeline import checks
+from arbutusstall._timeline import lines
+from arbutusstall._timeline import skew
+
+
+def render_line(line: lines.Line, as_json: bool) -> str:
+    """Return one event of the time line."""
+    if not as_json:
+        return line.text
+    body = {"at": line.at_s, "run": line.run, **line.fields}
+    return msgspec.json.encode(body).decode()
+
+
+def render_skew(merged: skew.Merged) -> list[str]:
+    """Return one remark for each corrected clock."""
+    remarks = [
+        f"# clock of {run} moved forward by {shift_s:.6f} s"
+        for run, shift_s in merged.shift_s_by_run.items()
+    ]
+    if merged.contradiction:
+        remarks.append("# the clocks contradict the order of requests")
+    return remarks
+
+
+def render_verdicts(
+    verdicts: abc.Sequence[checks.Verdict], as_json: bool
+) -> str:
+    """Return the outcome of all checks, one line for each violation."""
+    if as_json:
+        return msgspec.json.encode(verdicts).decode()
+    found = [
+        f"violated {verdict.invariant}: {violation}"
+        for verdict in verdicts
+        for violation in verdict.violations
+    ]
+    held = [
+        f"{verdict.invariant} ({verdict.judged})"
+        for verdict in verdicts
+        if verdict.judged and not verdict.violations
+    ]
+    idle = [verdict.invariant for verdict in verdicts if verdict.judged == 0]
+    found.append("held: " + (", ".join(held) or "none"))
+    found.append("not exercised: " + (", ".join(idle) or "none"))
+    return "\n".join(found)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -130,6 +130,7 @@
             spec.version,
             str(spec.slots),
             running.target,
+            name,
         )
 
     def wait_ready(self) -> None:
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -1,13 +1,17 @@
 """Stand-in for a target.
 
 Usage: python -m standins.target PORT ADMIN SERVICE VERSION [SLOTS
-[ANNOUNCED]]. ANNOUNCED is the address to announce, if another.
+[ANNOUNCED [NODE]]]. ANNOUNCED is the address to announce, if another;
+NODE names the node beside it in the event lines.
 Announces itself to the node's ADMIN address. ``POST /behaviour`` sets
-`Behaviour`; ``GET /executions`` lists the request ids that were run.
+`Behaviour`; ``POST /leave`` leaves the mesh; ``GET /executions`` lists
+the request ids that were run. A request whose path holds ``/crash``
+ends the process.
 """
 
 import contextlib
 import dataclasses
+import os
 import sys
 import threading
 import time
@@ -15,9 +19,11 @@
 import msgspec
 from werkzeug import serving
 from werkzeug import wrappers
+import xxhash
 
 from arbutusstall import errors
 from arbutusstall._shell import http
+from standins import journal
 
 _ANNOUNCE_S = 1.0
 
@@ -37,11 +43,23 @@
     fail_prefix: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Identity:
+    """Who this target is and which node is beside it."""
+
+    service: str
+    version: str
+    beside: str
+    admin: str
+
+
 class App:
     """Runs requests and remembers which ones."""
 
-    def __init__(self, name: str) -> None:
-        self._name = name
+    def __init__(self, identity: Identity, lines: journal.Journal) -> None:
+        self.leaving = threading.Event()
+        self._identity = identity
+        self._lines = lines
         self._behaviour = Behaviour()
         self._executions: list[str] = []
         self._lock = threading.Lock()
@@ -60,15 +78,51 @@
             return wrappers.Response("ok\n")
         if request.path == "/executions":
             return wrappers.Response(msgspec.json.encode(self._executions))
+        if request.path == "/leave":
+            return self._leave()
+        return self._run(request, request.get_data(as_text=True))
+
+    def _run(self, request, body):
         request_id = request.headers.get("Arbutusstall-Request-Id", "")
-        body = request.get_data(as_text=True)
         behaviour = self._behaviour
+        self._lines.emit(
+            "target-executed",
+            request=request_id,
+            method=request.method,
+            path=request.path,
+            key=request.headers.get("Idempotency-Key", ""),
+            service=self._identity.service,
+            version=self._identity.version,
+            beside=self._identity.beside,
+        )
         with self._lock:
             self._executions.append(request_id)
             failed = self._fails(behaviour, request.path)
+        if "/crash" in request.path:
+            os._exit(1)
         time.sleep(behaviour.delay_s)
-        text = f"{self._name} {request.method} {request.path} {body}\n"
-        return wrappers.Response(text, 500 if failed else 200)
+        name = f"{self._identity.service}/{self._identity.version}"
+        text = f"{name} {request.method} {request.path} {body} {request_id}\n"
+        status = 500 if failed else 200
+        self._lines.emit(
+            "target-finished",
+            request=request_id,
+            status=status,
+            digest=xxhash.xxh3_64_hexdigest(text.encode()),
+        )
+        return wrappers.Response(text, status)
+
+    def _leave(self):
+        self.leaving.set()
+        self._lines.emit("target-leaving", beside=self._identity.beside)
+        http.send(
+            http.Request(
+                method="POST",
+                url=f"http://{self._identity.admin}/v1/leave",
+                body=b"{}",
+            )
+        )
+        return wrappers.Response("ok\n")
 
     def _fails(self, behaviour, path):
         if not path.startswith(behaviour.fail_prefix):
@@ -87,8 +141,8 @@
         """Write no access log."""
 
 
-def _announce(admin: str, body: bytes) -> None:
-    while True:
+def _announce(admin: str, body: bytes, leaving: threading.Event) -> None:
+    while not leaving.is_set():
         with contextlib.suppress(errors.ArbutusstallError):
             http.send(
                 http.Request(
@@ -97,13 +151,14 @@
                     body=body,
                 )
             )
-        time.sleep(_ANNOUNCE_S)
+        leaving.wait(_ANNOUNCE_S)
 
 
 def main() -> None:
     """Serve until killed."""
     port, admin, service, version, *rest = sys.argv[1:]
-    slots, announced = (rest + ["20", f"127.0.0.1:{port}"][len(rest) :])[:2]
+    defaults = ["20", f"127.0.0.1:{port}", "-"]
+    slots, announced, beside = rest + defaults[len(rest) :]
     body = msgspec.json.encode(
         {
             "service": service,
@@ -112,11 +167,19 @@
             "slots": int(slots),
         }
     )
-    threading.Thread(target=_announce, args=(admin, body), daemon=True).start()
+    lines = journal.Journal(f"{beside}-target", sys.stderr)
+    lines.emit("target-started", service=service, version=version)
+    identity = Identity(
+        service=service, version=version, beside=beside, admin=admin
+    )
+    app = App(identity, lines)
+    threading.Thread(
+        target=_announce, args=(admin, body, app.leaving), daemon=True
+    ).start()
     serving.run_simple(
         "127.0.0.1",
         int(port),
-        App(f"{service}/{version}"),
+        app,
         threaded=True,
         request_handler=_Handler,
     )
