--- a/src/arbutusstall/_cli/note.py
+++ b/src/arbutusstall/_cli/note.py
@@ -167,20 +167,24 @@
     version: int
     known: int
     in_force: int
+    scope: str
 
 
 def _in_force(state: agreed.Agreed, version: int) -> tuple[int, int]:
-    in_force = 0
-    known = 0
-    for root in state.roots_by_node.values():
+    # Every root sums up the whole mesh; the first that answers will do.
+    for root in state.roots_by_seat.values():
         request = http.Request(
             method="GET", url=f"http://{root.admin}/v1/status"
         )
-        status = msgspec.json.decode(http.send(request).body, type=_Status)
-        known += status.known
-        if status.version >= version:
-            in_force += status.in_force
-    return in_force, known
+        try:
+            body = http.send(request).body
+        except errors.ArbutusstallError:
+            continue
+        status = msgspec.json.decode(body, type=_Status)
+        if status.scope == "mesh":
+            having = status.in_force if status.version >= version else 0
+            return having, status.known
+    return 0, 0
 
 
 def main() -> None:
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -10,9 +10,13 @@
 from arbutusstall._systems import agreement
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
+from arbutusstall._systems import liveness
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
+from arbutusstall._systems import progress
 from arbutusstall._systems import rollout
+from arbutusstall._systems import rows
+from arbutusstall._systems import seats
 from arbutusstall._systems import tree
 from arbutusstall._tables import members
 from arbutusstall._tables import node
@@ -30,11 +34,24 @@
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
     messages.Welcome: tree.on_welcome,
+    messages.Refusal: tree.on_refusal,
+    messages.Heartbeat: tree.on_heartbeat,
+    messages.SeatsUpdate: tree.on_seats,
     messages.SnapshotUpdate: distribution.on_update,
+    messages.SnapshotDelta: distribution.on_delta,
+    messages.SnapshotWanted: distribution.on_wanted,
     messages.MemberUpdate: membership.on_update,
-    messages.InForce: distribution.on_in_force,
+    messages.MemberDigest: membership.on_digest,
+    messages.Alive: liveness.on_alive,
+    messages.InForce: progress.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
 }
+# These run after the handler of the same event.
+_FOLLOW_UPS: dict[type[Any], _Handler] = {
+    _effects.LogRead: tree.on_log_read,
+    _effects.LogFailed: tree.on_log_failed,
+    _effects.Left: tree.on_left,
+}
 
 
 class NodeCore:
@@ -58,7 +75,7 @@
             relay=settings.addresses.relay,
         )
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
-        self.tables.members_by_node[member.node] = member
+        rows.put(self.tables, member, _clock.Instant(mono_s=0.0, wall_s=0.0))
 
     def start(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Return the effects that begin the node's work."""
@@ -73,12 +90,20 @@
         """Change the tables by one event."""
         if isinstance(event, _effects.Received):
             return self._receive(event, now)
-        handler = _EVENT_HANDLERS.get(type(event))
-        return handler(self.tables, event, now) if handler else []
+        effects: list[_effects.Effect] = []
+        for handlers in (_EVENT_HANDLERS, _FOLLOW_UPS):
+            handler = handlers.get(type(event))
+            if handler is not None:
+                effects += handler(self.tables, event, now)
+        return effects
 
     def tick(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Run the periodic systems over the tables."""
-        effects = tree.run(self.tables, now)
+        effects = seats.run(self.tables, now)
+        effects += tree.run(self.tables, now)
+        effects += liveness.run(self.tables, now)
+        effects += membership.run(self.tables, now)
+        effects += progress.run(self.tables, now)
         effects += lease.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
@@ -86,6 +111,8 @@
     def _receive(
         self, event: _effects.Received, now: _clock.Instant
     ) -> list[_effects.Effect]:
+        if event.peer in self.tables.links_by_peer:
+            self.tables.relay.heard_s_by_peer[event.peer] = now.mono_s
         handler = _MESSAGE_HANDLERS.get(type(event.message))
         if handler is None:
             return []
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -81,9 +81,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Left:
-    """The target beside this node leaves, or the node itself stops."""
+    """The target beside this node leaves, or the node itself stops.
+
+    Attributes:
+        stopping: Whether the whole node stops.
+    """
 
     reason: str
+    stopping: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -135,7 +140,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Disconnect:
-    """Close the stream to ``peer``."""
+    """Close the stream to ``peer`` after what was sent before.
+
+    Attributes:
+        peer: Node id, or the address of an attempt without an answer.
+
+    The other side gets `LinkLost`; this one does not.
+    """
 
     peer: str
 
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -9,6 +9,7 @@
 from arbutusstall._tables import agreed as tables
 
 _RECORD_IDS_KEPT = 20_000
+_MAX_SEATS = 64
 
 
 def apply(
@@ -37,6 +38,8 @@
             return rollouts.apply_verdict(state, offset, record)
         case records.RootRecord():
             return _root(state, offset, record)
+        case records.RootRenewal():
+            return _root_renewal(state, offset, record)
 
 
 def item_keys(note: _notes.ReleaseNote) -> tuple[str, ...]:
@@ -180,15 +183,45 @@
 def _root(
     state: tables.Agreed, offset: int, record: records.RootRecord
 ) -> tables.Agreed:
-    root = tables.Root(
+    if not 0 <= record.seat < _MAX_SEATS:
+        return state
+    key = tables.seat_key(record.data_centre, record.seat)
+    held = state.roots_by_seat.get(key)
+    current = held.offset if held else tables.NO_OFFSET
+    if current != record.replaces:
+        return state
+    roots = dict(state.roots_by_seat)
+    if any(
+        other != key and root.node == record.node
+        for other, root in roots.items()
+    ):
+        return state
+    roots[key] = tables.Root(
         node=record.node,
         data_centre=record.data_centre,
         address=record.address,
         admin=record.admin,
+        incarnation=record.incarnation,
+        seat=record.seat,
         offset=offset,
+        renewed=offset,
     )
-    roots = {**state.roots_by_node, record.node: root}
-    return dataclasses.replace(state, roots_by_node=roots)
+    return dataclasses.replace(state, roots_by_seat=roots)
+
+
+def _root_renewal(
+    state: tables.Agreed, offset: int, record: records.RootRenewal
+) -> tables.Agreed:
+    key = tables.seat_key(record.data_centre, record.seat)
+    root = state.roots_by_seat.get(key)
+    if root is None or root.offset != record.claim:
+        return state
+    roots = dict(state.roots_by_seat)
+    if record.released:
+        del roots[key]
+    else:
+        roots[key] = dataclasses.replace(root, renewed=offset)
+    return dataclasses.replace(state, roots_by_seat=roots)
 
 
 def skip(state: tables.Agreed, offset: int) -> tables.Agreed:
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -77,13 +77,35 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RootRecord:
-    """Announces a root relay by its relay and admin addresses."""
+    """Claims a root seat of a data centre.
+
+    Attributes:
+        address: Relay address of the claimant.
+        admin: Admin address of the claimant.
+        seat: Number of the seat within the data centre.
+        replaces: Offset of the claim that holds the seat, -1 if none;
+            the claim counts only if that is still so.
+    """
 
     record_id: str
     node: str
+    incarnation: int
     data_centre: str
     address: str
     admin: str
+    seat: int
+    replaces: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RootRenewal:
+    """Keeps or gives back the seat that was claimed at ``claim``."""
+
+    record_id: str
+    data_centre: str
+    seat: int
+    claim: int
+    released: bool = False
 
 
 Record = (
@@ -93,6 +115,7 @@
     | ShareDecision
     | Verdict
     | RootRecord
+    | RootRenewal
 )
 
 _KINDS: dict[str, type[Record]] = {
@@ -102,6 +125,7 @@
     "shares": ShareDecision,
     "verdict": Verdict,
     "root": RootRecord,
+    "root-renewal": RootRenewal,
 }
 _NAMES = {cls: name for name, cls in _KINDS.items()}
 
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -42,12 +42,35 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RelaySettings:
-    """Shape and times of the distribution tree; times in seconds."""
+    """Shape and times of the distribution tree; times in seconds.
+
+    Attributes:
+        roots: Root seats of each data centre.
+        fan_out: Children that a node admits.
+        heartbeat_s: Interval of the heartbeats on each link.
+        silent_s: A link without any message for so long is replaced.
+        seat_renew_s: Interval at which a root renews its seat.
+        seat_expire_s: A seat that was not renewed for so long, while
+            the log answered, is claimed by others.
+        refresh_s: Interval at which a node is reported alive.
+        expire_s: A node not reported alive for so long is taken for
+            dead.
+        forget_s: The row of a dead node is removed after this time.
+        join_rate: Joiners that a node admits per second.
+        rows_per_s: Member rows sent over one link per second.
+    """
 
     roots: int = 3
     fan_out: int = 16
+    heartbeat_s: float = 2.0
+    silent_s: float = 6.0
+    seat_renew_s: float = 5.0
+    seat_expire_s: float = 16.0
     refresh_s: float = 30.0
     expire_s: float = 100.0
+    forget_s: float = 600.0
+    join_rate: float = 20.0
+    rows_per_s: float = 100.0
     retry_base_s: float = 0.2
     retry_cap_s: float = 10.0
 
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -11,8 +11,10 @@
 from arbutusstall import _effects
 from arbutusstall._shell import control
 from arbutusstall._shell import inbound
-from arbutusstall._systems import distribution
+from arbutusstall._systems import progress
+from arbutusstall._tables import links
 from arbutusstall._tables import members
+from arbutusstall._wire import messages
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,8 +32,13 @@
     """Answer of ``GET /v1/status``.
 
     Attributes:
-        known: Nodes at and below this one, itself included.
+        scope: ``"mesh"`` at a root: ``known`` and ``in_force`` count
+            the whole mesh; ``"subtree"`` elsewhere: they count this
+            node and the nodes below it.
+        known: Nodes of the scope.
         in_force: Those that have ``version`` in force.
+        lacking: Names of some that lack it.
+        data_centres: The counts of the mesh by data centre.
         serving: Endpoints known here that take calls.
     """
 
@@ -39,9 +46,14 @@
     data_centre: str
     version: int
     root: bool
+    scope: str
     known: int
     in_force: int
+    lacking: tuple[str, ...]
+    data_centres: tuple[progress.CentreProgress, ...]
     serving: int
+    parent: str
+    children: int
 
 
 class Admin:
@@ -95,7 +107,19 @@
 
     def _status(self, request: wrappers.Request) -> wrappers.Response:
         tables = self._core.tables
-        report = distribution.summary(tables)
+        report: messages.InForce | progress.MeshProgress
+        report = progress.summary(tables)
+        centres: tuple[progress.CentreProgress, ...] = ()
+        if tables.is_root:
+            report = progress.mesh(tables)
+            centres = report.centres
+        roles = [
+            (link.role, link.peer)
+            for link in list(tables.links_by_peer.values())
+        ]
+        parents = [
+            peer for role, peer in roles if role is links.LinkRole.PARENT
+        ]
         status = Status(
             node=tables.member.node,
             data_centre=tables.member.data_centre,
@@ -103,6 +127,11 @@
             root=tables.is_root,
             known=report.known,
             in_force=report.in_force,
+            scope="mesh" if tables.is_root else "subtree",
+            lacking=report.lacking,
+            data_centres=centres,
+            parent=parents[0] if parents else "",
+            children=sum(role is links.LinkRole.CHILD for role, _ in roles),
             serving=sum(
                 member.state is members.MemberState.SERVING
                 for member in list(tables.members_by_node.values())
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -77,7 +77,7 @@
 
     def _stop(self) -> None:
         self._log.emit("node-stopping")
-        self._loop.put(_effects.Left(reason="node stops"))
+        self._loop.put(_effects.Left(reason="node stops", stopping=True))
         time.sleep(_SPREAD_S)
         self._inbound.stop(_GRACE_S)
         self._callers.stop()
--- a/src/arbutusstall/_shell/relay.py
+++ b/src/arbutusstall/_shell/relay.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 from concurrent import futures
+import logging
 import queue
 import threading
 
@@ -12,11 +13,73 @@
 from arbutusstall._shell import control
 from arbutusstall._wire import messages
 
+LOG = logging.getLogger(__name__)
+
 _METHOD = "/arbutusstall.Relay/Attach"
+# Each accepted stream holds a thread: the children, the other roots and
+# joiners that are about to be refused.
 _MAX_STREAMS = 64
-_END = None
+_MAX_QUEUED = 2_000
+_MAX_QUEUED_BYTES = 8 * 1024 * 1024
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_OPTIONS = (
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+    # A channel of its own for each stream: one that went silent must
+    # not be shared with the attempt that replaces it.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_retries", 0),
+    ("grpc.so_reuseport", 0),
+)
+
+
+class _Outbox:
+    """Encoded messages that wait for a stream, bounded by their size."""
+
+    def __init__(self) -> None:
+        self._queue: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._queued_bytes = 0
+        self.closed = False
 
-_Outbox = queue.SimpleQueue[messages.Message | None]
+    def put(self, data: bytes) -> bool:
+        """Queue a message; return whether there was room."""
+        with self._lock:
+            if self.closed:
+                return True
+            full = self._queue.qsize() >= _MAX_QUEUED
+            if full or self._queued_bytes + len(data) > _MAX_QUEUED_BYTES:
+                return False
+            self._queued_bytes += len(data)
+        self._queue.put(data)
+        return True
+
+    def close(self) -> None:
+        """End the stream after what was queued before."""
+        with self._lock:
+            self.closed = True
+        self._queue.put(None)
+
+    def drain(self) -> abc.Iterator[bytes]:
+        """Yield the messages until the outbox is closed."""
+        while True:
+            data = self._queue.get()
+            if data is None:
+                return
+            with self._lock:
+                self._queued_bytes -= len(data)
+            yield data
+
+
+class _Stream:
+    """One open stream; ``peer`` is an address until the node is known."""
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        self.outbox = _Outbox()
+        self.cancel: abc.Callable[[], object] = lambda: None
+        # Set when this side closed the stream: it needs no notice then.
+        self.dropped = False
 
 
 class Relay:
@@ -24,16 +87,15 @@
 
     def __init__(self, address: str, loop: control.ControlLoop) -> None:
         self._loop = loop
-        self._outboxes: dict[str, _Outbox] = {}
+        self._streams: dict[str, _Stream] = {}
         self._lock = threading.Lock()
+        self._last: tuple[messages.Message, bytes] | None = None
         self._server = grpc.server(
-            futures.ThreadPoolExecutor(max_workers=_MAX_STREAMS)
-        )
-        handler = grpc.stream_stream_rpc_method_handler(
-            self._serve,
-            request_deserializer=messages.decode,
-            response_serializer=messages.encode,
+            futures.ThreadPoolExecutor(max_workers=_MAX_STREAMS),
+            options=_OPTIONS,
+            maximum_concurrent_rpcs=_MAX_STREAMS,
         )
+        handler = grpc.stream_stream_rpc_method_handler(self._serve)
         self._server.add_generic_rpc_handlers(
             (
                 grpc.method_handlers_generic_handler(
@@ -50,107 +112,152 @@
     def stop(self) -> None:
         """Close all streams."""
         with self._lock:
-            outboxes = list(self._outboxes.values())
-        for outbox in outboxes:
-            outbox.put(_END)
+            streams = list(self._streams.values())
+        for stream in streams:
+            stream.outbox.close()
         self._server.stop(grace=0.5).wait()
 
     def connect(self, effect: _effects.Connect) -> None:
         """Open a stream to another node."""
+        stream = _Stream(effect.address)
+        stream.outbox.put(messages.encode(effect.hello))
+        self._register(stream)
         threading.Thread(
-            target=self._run_client, args=(effect,), daemon=True
+            target=self._run_client,
+            args=(stream, effect.address),
+            name=f"relay-{effect.address}",
+            daemon=True,
         ).start()
 
     def disconnect(self, effect: _effects.Disconnect) -> None:
-        """Close the stream to a peer."""
+        """Close the stream to a peer after what was queued for it."""
         with self._lock:
-            outbox = self._outboxes.get(effect.peer)
-        if outbox is not None:
-            outbox.put(_END)
+            stream = self._streams.pop(effect.peer, None)
+        if stream is None:
+            return
+        stream.dropped = True
+        stream.outbox.close()
+        # A silent link does not end by itself.
+        timer = threading.Timer(1.0, stream.cancel)
+        timer.daemon = True
+        timer.start()
 
     def send(self, effect: _effects.Send) -> None:
-        """Queue a message for a peer; drop it if the stream is gone."""
+        """Queue a message; cut a peer that does not keep up."""
         with self._lock:
-            outbox = self._outboxes.get(effect.peer)
-        if outbox is not None:
-            outbox.put(effect.message)
-
-    def _run_client(self, effect: _effects.Connect) -> None:
-        outbox: _Outbox = queue.SimpleQueue()
-        outbox.put(effect.hello)
-        peer = effect.address
+            stream = self._streams.get(effect.peer)
+        if stream is None:
+            return
+        if stream.outbox.put(self._encode(effect.message)):
+            return
+        LOG.warning("relay-cut", extra={"peer": effect.peer})
+        stream.outbox.close()
+        stream.cancel()
+
+    def _encode(self, message: messages.Message) -> bytes:
+        # Children get the same object one after the other.
+        if self._last is None or self._last[0] is not message:
+            self._last = (message, messages.encode(message))
+        return self._last[1]
+
+    def _run_client(self, stream: _Stream, address: str) -> None:
         reason = "closed by the peer"
         try:
-            with grpc.insecure_channel(effect.address) as channel:
-                attach = channel.stream_stream(
-                    _METHOD,
-                    request_serializer=messages.encode,
-                    response_deserializer=messages.decode,
-                )
-                for message in attach(_drain(outbox)):
-                    if isinstance(
-                        message, messages.Welcome | messages.Refusal
-                    ):
-                        peer = message.node
-                        self._register(peer, outbox)
-                    self._loop.put(
-                        _effects.Received(peer=peer, message=message)
-                    )
+            with grpc.insecure_channel(address, options=_OPTIONS) as channel:
+                attach = channel.stream_stream(_METHOD)
+                call = attach(stream.outbox.drain())
+                stream.cancel = call.cancel
+                for data in call:
+                    self._receive(stream, messages.decode(data))
         except grpc.RpcError as exc:
             reason = str(exc.code())
+        except errors.WireError as exc:
+            reason = exc.reason
         finally:
-            self._closed(peer, outbox, reason)
-            if peer != effect.address:
-                self._closed(effect.address, outbox, reason)
+            self._closed(stream, reason)
+
+    def _receive(self, stream: _Stream, message: messages.Message) -> None:
+        if isinstance(message, messages.Welcome | messages.Refusal):
+            self._rename(stream, message.node)
+        if not stream.dropped:
+            self._loop.put(
+                _effects.Received(peer=stream.peer, message=message)
+            )
 
     def _serve(
-        self,
-        incoming: abc.Iterator[messages.Message],
-        context: grpc.ServicerContext,
-    ) -> abc.Iterator[messages.Message]:
-        hello = next(incoming, None)
-        if not isinstance(hello, messages.Hello):
+        self, incoming: abc.Iterator[bytes], context: grpc.ServicerContext
+    ) -> abc.Iterator[bytes]:
+        hello = _hello(next(incoming, b""))
+        if hello is None:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, "hello expected")
             return
-        outbox: _Outbox = queue.SimpleQueue()
-        self._register(hello.node, outbox)
-        context.add_callback(lambda: outbox.put(_END))
+        stream = _Stream(hello.node)
+        stream.cancel = context.cancel
+        self._register(stream)
+        if not context.add_callback(stream.outbox.close):
+            self._closed(stream, "stream ended")
+            return
         self._loop.put(_effects.Received(peer=hello.node, message=hello))
         threading.Thread(
-            target=self._pump, args=(hello.node, incoming), daemon=True
+            target=self._pump,
+            args=(stream, incoming),
+            name=f"relay-{hello.node}",
+            daemon=True,
         ).start()
-        yield from _drain(outbox)
-        self._closed(hello.node, outbox, "stream ended")
+        yield from stream.outbox.drain()
+        self._closed(stream, "stream ended")
 
-    def _pump(
-        self, peer: str, incoming: abc.Iterator[messages.Message]
-    ) -> None:
+    def _pump(self, stream: _Stream, incoming: abc.Iterator[bytes]) -> None:
         try:
-            for message in incoming:
-                self._loop.put(_effects.Received(peer=peer, message=message))
-        except (grpc.RpcError, errors.WireError):
-            return
+            for data in incoming:
+                self._receive(stream, messages.decode(data))
+        except errors.WireError:
+            stream.cancel()
+        # gRPC ends this iterator with a plain exception at cancellation.
+        except Exception:  # noqa: BLE001
+            LOG.debug("relay-ended", extra={"peer": stream.peer})
+        finally:
+            stream.outbox.close()
 
-    def _register(self, peer: str, outbox: _Outbox) -> None:
+    def _register(self, stream: _Stream) -> None:
         with self._lock:
-            old = self._outboxes.get(peer)
-            self._outboxes[peer] = outbox
-        if old is not None and old is not outbox:
-            old.put(_END)
+            old = self._streams.get(stream.peer)
+            self._streams[stream.peer] = stream
+        if old is not None:
+            _drop(old)
 
-    def _closed(self, peer: str, outbox: _Outbox, reason: str) -> None:
-        outbox.put(_END)
+    def _rename(self, stream: _Stream, peer: str) -> None:
         with self._lock:
-            current = self._outboxes.get(peer)
-            if current is not None and current is not outbox:
+            if self._streams.get(stream.peer) is stream:
+                del self._streams[stream.peer]
+            stream.peer = peer
+            if stream.dropped:
                 return
-            self._outboxes.pop(peer, None)
-        self._loop.put(_effects.LinkLost(peer=peer, reason=reason))
+            old = self._streams.get(peer)
+            self._streams[peer] = stream
+        if old is not None:
+            _drop(old)
 
+    def _closed(self, stream: _Stream, reason: str) -> None:
+        stream.outbox.close()
+        with self._lock:
+            if self._streams.get(stream.peer) is stream:
+                del self._streams[stream.peer]
+            if stream.dropped:
+                return
+            stream.dropped = True
+        self._loop.put(_effects.LinkLost(peer=stream.peer, reason=reason))
 
-def _drain(outbox: _Outbox) -> abc.Iterator[messages.Message]:
-    while True:
-        message = outbox.get()
-        if message is _END:
-            return
-        yield message
+
+def _drop(stream: _Stream) -> None:
+    stream.dropped = True
+    stream.outbox.close()
+    stream.cancel()
+
+
+def _hello(data: bytes) -> messages.Hello | None:
+    try:
+        message = messages.decode(data)
+    except errors.WireError:
+        return None
+    return message if isinstance(message, messages.Hello) else None
--- /dev/null
+++ b/src/arbutusstall/_systems/deltas.py
@@ -0,0 +1,92 @@
+"""Differences between configurations and their digests."""
+
+from collections import abc
+import dataclasses
+from typing import Any
+
+import msgspec
+import xxhash
+
+from arbutusstall._tables import agreed
+from arbutusstall._wire import messages
+
+_FIELDS = tuple(field.name for field in dataclasses.fields(agreed.Snapshot))
+
+
+def digest(snapshot: agreed.Snapshot) -> str:
+    """Return the hash of a snapshot's canonical encoding."""
+    data = msgspec.json.encode(snapshot, order="sorted")
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def difference(
+    old: agreed.Snapshot, new: agreed.Snapshot, new_digest: str
+) -> messages.SnapshotDelta:
+    """Return what turns ``old`` into ``new``.
+
+    Mappings are compared entry by entry; any other field is carried
+    whole, so a field that is added later needs no code here.
+    """
+    values: dict[str, Any] = {}
+    removed: dict[str, tuple[str, ...]] = {}
+    for name in _FIELDS:
+        before, after = getattr(old, name), getattr(new, name)
+        if not isinstance(after, abc.Mapping):
+            values[name] = after
+            continue
+        values[name] = _changed(before, after)
+        gone = tuple(key for key in before if key not in after)
+        if gone:
+            removed[name] = gone
+    return messages.SnapshotDelta(
+        base=old.version,
+        digest=new_digest,
+        changed=agreed.Snapshot(**values),
+        removed=removed,
+    )
+
+
+def apply(
+    base: agreed.Snapshot, delta: messages.SnapshotDelta
+) -> agreed.Snapshot | None:
+    """Return the result of ``delta``, or None if it is not for ``base``.
+
+    The digest of the result is checked here, before anyone sees it.
+    """
+    if delta.base != base.version:
+        return None
+    values: dict[str, Any] = {}
+    for name in _FIELDS:
+        after = getattr(delta.changed, name)
+        if isinstance(after, abc.Mapping):
+            after = _merged(
+                getattr(base, name), after, delta.removed.get(name, ())
+            )
+        values[name] = after
+    result = agreed.Snapshot(**values)
+    return result if digest(result) == delta.digest else None
+
+
+def _changed(
+    before: abc.Mapping[str, Any], after: abc.Mapping[str, Any]
+) -> dict[str, Any]:
+    if before is after:
+        return {}
+    return {
+        key: value
+        for key, value in after.items()
+        if before.get(key) is not value and before.get(key) != value
+    }
+
+
+def _merged(
+    base: abc.Mapping[str, Any],
+    changed: abc.Mapping[str, Any],
+    removed: abc.Collection[str],
+) -> abc.Mapping[str, Any]:
+    if not changed and not removed:
+        return base
+    result = {**base, **changed}
+    for key in removed:
+        result.pop(key, None)
+    return result
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -1,27 +1,34 @@
-"""Puts configuration versions in force and hands them to children."""
+"""Puts configuration versions in force and hands them to neighbours."""
 
-import msgspec
-import xxhash
+import dataclasses
 
 from arbutusstall import _clock
 from arbutusstall import _effects
+from arbutusstall._systems import deltas
+from arbutusstall._systems import progress
 from arbutusstall._tables import agreed
 from arbutusstall._tables import links
-from arbutusstall._tables import members
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
 
-
-def digest(snapshot: agreed.Snapshot) -> str:
-    """Return the hash of a snapshot's canonical encoding."""
-    data = msgspec.json.encode(snapshot, order="sorted")
-    return xxhash.xxh3_128_hexdigest(data)
+_VERSIONS_KEPT = 64
+_ASK_AGAIN_S = 1.0
 
 
 def adopt(
-    tables: node.Tables, snapshot: agreed.Snapshot, now: _clock.Instant
+    tables: node.Tables,
+    snapshot: agreed.Snapshot,
+    now: _clock.Instant,
+    digest: str = "",
 ) -> list[_effects.Effect]:
-    """Put ``snapshot`` in force unless a newer one is already."""
+    """Put ``snapshot`` in force unless a newer one is already.
+
+    Args:
+        tables: The node's tables.
+        snapshot: A whole configuration.
+        now: Current time.
+        digest: Its digest if that was checked already.
+    """
     if snapshot.version <= tables.snapshot.version:
         return []
     if dangling(snapshot):
@@ -31,9 +38,12 @@
             )
         ]
     before = tables.snapshot
+    tables.history[before.version] = before
+    while len(tables.history) > _VERSIONS_KEPT:
+        tables.history.popitem(last=False)
     tables.snapshot = snapshot
-    tables.digest = digest(snapshot)
-    tables.next_report_s = now.mono_s
+    tables.digest = digest or deltas.digest(snapshot)
+    progress.changed(tables, now)
     effects: list[_effects.Effect] = [
         _effects.Emit(
             event="config-in-force", fields={"version": snapshot.version}
@@ -41,11 +51,7 @@
     ]
     effects += _rollout_events(before, snapshot)
     effects.append(view(tables))
-    update = messages.SnapshotUpdate(digest=tables.digest, snapshot=snapshot)
-    for link in tables.links_by_peer.values():
-        if link.role is links.LinkRole.CHILD:
-            effects.append(_effects.Send(peer=link.peer, message=update))
-    return effects
+    return effects + _hand_down(tables)
 
 
 def dangling(snapshot: agreed.Snapshot) -> bool:
@@ -59,72 +65,117 @@
 
 def view(tables: node.Tables) -> _effects.PutInForce:
     """Return the effect that hands the tables to the call path."""
-    serving: dict[str, list[members.Member]] = {}
-    for member in tables.members_by_node.values():
-        if member.state is members.MemberState.SERVING:
-            serving.setdefault(member.service, []).append(member)
+    spread = tables.spread
+    spread.view_due = False
     return _effects.PutInForce(
         view=_effects.View(
             snapshot=tables.snapshot,
-            members_by_service={
-                name: tuple(rows) for name, rows in serving.items()
-            },
+            members_by_service=dict(spread.tuples_by_service),
             blocked=tables.snapshot.blocked | frozenset(tables.blocked),
         )
     )
 
 
+def hand_to(tables: node.Tables, peer: str) -> list[_effects.Effect]:
+    """Bring one neighbour from the version it has to the current one."""
+    link = tables.links_by_peer[peer]
+    version = tables.snapshot.version
+    if max(link.version, link.sent) >= version:
+        return []
+    base = max(link.version, link.sent)
+    message = _update(tables, base)
+    tables.links_by_peer[peer] = dataclasses.replace(link, sent=version)
+    return [_effects.Send(peer=peer, message=message)]
+
+
 def on_update(
     tables: node.Tables,
     peer: str,
     message: messages.SnapshotUpdate,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Check and adopt a configuration from the parent."""
-    if digest(message.snapshot) != message.digest:
+    """Check and adopt a whole configuration."""
+    if deltas.digest(message.snapshot) != message.digest:
         return [
             _effects.Emit(
                 event="config-damaged",
                 fields={"peer": peer, "version": message.snapshot.version},
             )
         ]
-    return adopt(tables, message.snapshot, now)
+    return adopt(tables, message.snapshot, now, message.digest)
 
 
-def on_in_force(
+def on_delta(
     tables: node.Tables,
     peer: str,
-    message: messages.InForce,
+    message: messages.SnapshotDelta,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Note how far the nodes at and below a child are."""
+    """Apply a difference aside; adopt it, or ask for the whole."""
+    if message.changed.version <= tables.snapshot.version:
+        return []
+    snapshot = deltas.apply(tables.snapshot, message)
+    if snapshot is None:
+        return ask(tables, peer, now)
+    return adopt(tables, snapshot, now, message.digest)
+
+
+def ask(
+    tables: node.Tables, peer: str, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Ask a neighbour for its whole configuration, not too often."""
+    wanted = tables.relay.wanted_s_by_peer
+    if now.mono_s < wanted.get(peer, 0.0) + _ASK_AGAIN_S:
+        return []
+    wanted[peer] = now.mono_s
+    message = messages.SnapshotWanted(version=tables.snapshot.version)
+    return [_effects.Send(peer=peer, message=message)]
+
+
+def on_wanted(
+    tables: node.Tables,
+    peer: str,
+    message: messages.SnapshotWanted,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Answer with the whole configuration if it is newer."""
     link = tables.links_by_peer.get(peer)
-    if link is None:
+    version = tables.snapshot.version
+    if link is None or version <= message.version:
         return []
-    tables.links_by_peer[peer] = links.Link(
-        peer=peer,
-        address=link.address,
-        role=link.role,
-        version=message.version,
-        known=message.known,
-        in_force=message.in_force,
-    )
-    tables.next_report_s = now.mono_s
-    return []
+    tables.links_by_peer[peer] = dataclasses.replace(link, sent=version)
+    return [_effects.Send(peer=peer, message=_whole(tables))]
 
 
-def summary(tables: node.Tables) -> messages.InForce:
-    """Sum up this node and everything below it."""
-    known = 1
-    in_force = 1
-    for link in tables.links_by_peer.values():
-        if link.role is not links.LinkRole.CHILD:
+def _hand_down(tables: node.Tables) -> list[_effects.Effect]:
+    # Neighbours with the same base share one message object, which the
+    # shell encodes once.
+    version = tables.snapshot.version
+    by_base: dict[int, messages.Message] = {}
+    effects: list[_effects.Effect] = []
+    for link in list(tables.links_by_peer.values()):
+        base = max(link.version, link.sent)
+        if link.role is not links.LinkRole.CHILD or base >= version:
             continue
-        known += link.known
-        if link.version == tables.snapshot.version:
-            in_force += link.in_force
-    return messages.InForce(
-        version=tables.snapshot.version, known=known, in_force=in_force
+        if base not in by_base:
+            by_base[base] = _update(tables, base)
+        tables.links_by_peer[link.peer] = dataclasses.replace(
+            link, sent=version
+        )
+        effects.append(_effects.Send(peer=link.peer, message=by_base[base]))
+    return effects
+
+
+def _update(tables: node.Tables, base: int) -> messages.Message:
+    old = tables.history.get(base)
+    if old is None or base == 0:
+        return _whole(tables)
+    return deltas.difference(old, tables.snapshot, tables.digest)
+
+
+def _whole(tables: node.Tables) -> messages.SnapshotUpdate:
+    return messages.SnapshotUpdate(
+        digest=tables.digest, snapshot=tables.snapshot
     )
 
 
@@ -134,6 +185,8 @@
     effects: list[_effects.Effect] = []
     for rollout_id, rollout in after.rollouts_by_id.items():
         old = before.rollouts_by_id.get(rollout_id)
+        if old is rollout:
+            continue
         if old is not None and old.state is rollout.state:
             continue
         effects.append(
--- /dev/null
+++ b/src/arbutusstall/_systems/liveness.py
@@ -0,0 +1,125 @@
+"""Reports nodes alive up the tree; roots find those that died.
+
+Only the roots of a node's own data centre take it for dead. A data
+centre that cannot be reached at all keeps its rows for a long time, so
+that a cut between regions does not cost either side its endpoints.
+"""
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._systems import membership
+from arbutusstall._systems import seats
+from arbutusstall._tables import links
+from arbutusstall._tables import node
+from arbutusstall._wire import messages
+
+_JITTER = 0.2
+# Refresh periods after which an unreachable data centre counts as gone.
+_FAR_FACTOR = 10.0
+
+
+def on_alive(
+    tables: node.Tables,
+    peer: str,
+    message: messages.Alive,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Note which nodes are alive below a neighbour."""
+    link = tables.links_by_peer.get(peer)
+    if link is None:
+        return []
+    spread = tables.spread
+    for name in message.nodes:
+        spread.alive_s_by_node[name] = now.mono_s
+    if link.role is links.LinkRole.CHILD:
+        for name in message.nodes:
+            spread.below_s_by_node[name] = now.mono_s
+    return []
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Report the nodes of the own subtree, and expire silent ones."""
+    spread = tables.spread
+    if now.mono_s < spread.next_refresh_s:
+        return []
+    if not spread.next_refresh_s:
+        # Nodes that started together must not report together.
+        spread.next_refresh_s = now.mono_s + (
+            tables.settings.relay.refresh_s * tables.rng.random()
+        )
+        return []
+    wait_s = tables.settings.relay.refresh_s
+    wait_s *= 1.0 - _JITTER * tables.rng.random()
+    spread.next_refresh_s = now.mono_s + wait_s
+    effects = _report(tables, now)
+    if tables.is_root:
+        _expire(tables, now)
+    return effects
+
+
+def _report(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    # What other roots report must not go back to them: two roots would
+    # keep a dead node alive between themselves.
+    below = tables.spread.below_s_by_node
+    limit_s = 2 * tables.settings.relay.refresh_s
+    for name, since_s in list(below.items()):
+        if now.mono_s - since_s > limit_s:
+            del below[name]
+    names = {tables.member.node, *below}
+    for link in tables.links_by_peer.values():
+        if link.role is links.LinkRole.CHILD:
+            names.add(link.peer)
+    message = messages.Alive(nodes=tuple(sorted(names)))
+    return [
+        _effects.Send(peer=link.peer, message=message)
+        for link in tables.links_by_peer.values()
+        if _is_up(tables, link)
+    ]
+
+
+def _is_up(tables: node.Tables, link: links.Link) -> bool:
+    if link.role is links.LinkRole.PARENT:
+        return True
+    return (
+        link.role is links.LinkRole.ROOT
+        and link.data_centre == tables.member.data_centre
+    )
+
+
+def _expire(tables: node.Tables, now: _clock.Instant) -> None:
+    alive = tables.spread.alive_s_by_node
+    for name in tables.links_by_peer:
+        alive[name] = now.mono_s
+    alive[tables.member.node] = now.mono_s
+    near = _linked_to_all_roots(tables)
+    linked = {link.data_centre for link in tables.links_by_peer.values()}
+    linked.add(tables.member.data_centre)
+    expire_s = tables.settings.relay.expire_s
+    silent = []
+    for member in tables.members_by_node.values():
+        if not member.live:
+            continue
+        own = member.data_centre == tables.member.data_centre
+        if own and not near:
+            continue
+        if not own and member.data_centre in linked:
+            alive[member.node] = now.mono_s
+            continue
+        limit_s = expire_s if own else expire_s * _FAR_FACTOR
+        since_s = alive.setdefault(member.node, now.mono_s)
+        if now.mono_s - since_s > limit_s:
+            silent.append(member.node)
+    membership.mark_silent(tables, silent, now)
+    for name in list(alive):
+        if name not in tables.members_by_node:
+            del alive[name]
+
+
+def _linked_to_all_roots(tables: node.Tables) -> bool:
+    lapsed = {seat.seat for seat in seats.vacant(tables)}
+    return all(
+        root.node in tables.links_by_peer
+        or root.node == tables.member.node
+        or root.seat in lapsed
+        for root in seats.local_roots(tables)
+    )
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -5,10 +5,30 @@
 from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall._systems import distribution
+from arbutusstall._systems import rows as table
+from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
 
+_SPREAD_S = 0.5
+_ROWS_PER_MESSAGE = 500
+_SYNC_AGAIN_S = 5.0
+_FLAP_HALF_LIFE_S = 15.0
+_FLAP_LIMIT = 4.0
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Send changed rows and serve again after flapping."""
+    effects = _release_held(tables, now)
+    effects += _flush(tables, now)
+    if tables.spread.view_due:
+        effects.append(distribution.view(tables))
+    if now.mono_s >= tables.spread.next_sweep_s:
+        tables.spread.next_sweep_s = now.mono_s + 1.0
+        table.sweep(tables, now)
+    return effects
+
 
 def on_announced(
     tables: node.Tables, event: _effects.Announced, now: _clock.Instant
@@ -24,16 +44,33 @@
         slots=event.slots,
     )
     if row == own:
+        tables.spread.held = None
         return []
-    return _change_own(tables, row, "endpoint-serving")
+    if _penalty(tables, now) >= _FLAP_LIMIT:
+        tables.spread.held = row
+        return [
+            _effects.Emit(
+                event="endpoint-held", fields={"service": row.service}
+            )
+        ]
+    return _change_own(tables, row, "endpoint-serving", now)
 
 
 def on_left(
     tables: node.Tables, event: _effects.Left, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Take the target beside this node out of service."""
+    """Take the target beside this node out of service at once."""
+    tables.spread.held = None
     row = dataclasses.replace(tables.member, state=members.MemberState.LEAVING)
-    return _change_own(tables, row, "endpoint-leaving")
+    if row == tables.member:
+        return []
+    tables.spread.penalty = _penalty(tables, now) + 1.0
+    tables.spread.penalty_s = now.mono_s
+    effects = _change_own(tables, row, "endpoint-leaving", now)
+    effects += _flush(tables, now)
+    if tables.spread.view_due:
+        effects.append(distribution.view(tables))
+    return effects
 
 
 def on_update(
@@ -43,44 +80,218 @@
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Merge rows of a neighbour and pass on those that were news."""
-    news = [row for row in message.rows if _is_news(tables, row)]
-    return _spread(tables, news, skip=peer)
+    urgent = False
+    for row in message.rows:
+        if row.node == tables.member.node:
+            _refute(tables, row, now)
+            continue
+        if not table.is_news(tables, row):
+            continue
+        known = tables.members_by_node.get(row.node)
+        table.put(tables, row, now)
+        _note(tables, row, peer, now)
+        urgent = urgent or (known is not None and not row.live)
+    if not urgent:
+        return []
+    effects = _flush(tables, now)
+    if tables.spread.view_due:
+        effects.append(distribution.view(tables))
+    return effects
+
+
+def on_digest(
+    tables: node.Tables,
+    peer: str,
+    message: messages.MemberDigest,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Send the rows of the buckets that differ."""
+    if len(message.buckets) != table.BUCKETS:
+        return []
+    own = table.buckets(tables)
+    differing = {
+        index
+        for index, value in enumerate(message.buckets)
+        if value != own[index]
+    }
+    effects: list[_effects.Effect] = []
+    if message.reply and differing:
+        effects.append(digest(tables, peer, reply=False))
+    return effects + _send_buckets(tables, peer, differing)
+
+
+def digest(tables: node.Tables, peer: str, reply: bool) -> _effects.Send:
+    """Return the effect that begins to compare tables with ``peer``."""
+    return _effects.Send(
+        peer=peer,
+        message=messages.MemberDigest(
+            buckets=table.buckets(tables), reply=reply
+        ),
+    )
+
+
+def compare(
+    tables: node.Tables, peer: str, total: int, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Begin to compare tables if a neighbour's total differs."""
+    if total == table.total(tables) or tables.spread.news_by_node:
+        return []
+    synced = tables.spread.synced_s_by_peer
+    if now.mono_s < synced.get(peer, 0.0) + _SYNC_AGAIN_S:
+        return []
+    synced[peer] = now.mono_s
+    return [digest(tables, peer, reply=True)]
+
 
+def mark_silent(
+    tables: node.Tables, names: list[str], now: _clock.Instant
+) -> None:
+    """Take nodes for dead that nobody has reported alive."""
+    for name in names:
+        old = tables.members_by_node[name]
+        row = dataclasses.replace(
+            old, state=members.MemberState.SILENT, sequence=old.sequence + 1
+        )
+        table.put(tables, row, now)
+        _note(tables, row, "", now)
 
-def everything(tables: node.Tables, peer: str) -> _effects.Send:
-    """Return the effect that hands the whole table to ``peer``."""
-    rows = tuple(tables.members_by_node.values())
-    return _effects.Send(peer=peer, message=messages.MemberUpdate(rows=rows))
+
+def _refute(
+    tables: node.Tables, row: members.Member, now: _clock.Instant
+) -> None:
+    own = tables.member
+    if row.rank < own.rank or row == own:
+        return
+    # Somebody took this node for dead, or has a row of an earlier
+    # process whose clock ran ahead.
+    sequence = max(row.sequence, own.sequence) + 1
+    incarnation = max(row.incarnation, own.incarnation)
+    tables.member = dataclasses.replace(
+        own, sequence=sequence, incarnation=incarnation
+    )
+    table.put(tables, tables.member, now)
+    _note(tables, tables.member, "", now)
 
 
 def _change_own(
-    tables: node.Tables, row: members.Member, event: str
+    tables: node.Tables,
+    row: members.Member,
+    event: str,
+    now: _clock.Instant,
 ) -> list[_effects.Effect]:
     row = dataclasses.replace(row, sequence=row.sequence + 1)
     tables.member = row
+    table.put(tables, row, now)
+    _note(tables, row, "", now)
     emit = _effects.Emit(
         event=event, fields={"service": row.service, "version": row.version}
     )
-    return [emit, *_spread(tables, [row], skip="")]
+    return [emit]
 
 
-def _is_news(tables: node.Tables, row: members.Member) -> bool:
-    if row.node == tables.member.node:
-        return False
-    known = tables.members_by_node.get(row.node)
-    return known is None or row.rank > known.rank
+def _penalty(tables: node.Tables, now: _clock.Instant) -> float:
+    elapsed_s = now.mono_s - tables.spread.penalty_s
+    decay: float = 0.5 ** (elapsed_s / _FLAP_HALF_LIFE_S)
+    return tables.spread.penalty * decay
 
 
-def _spread(
-    tables: node.Tables, rows: list[members.Member], skip: str
+def _release_held(
+    tables: node.Tables, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    if not rows:
+    held = tables.spread.held
+    if held is None or _penalty(tables, now) >= _FLAP_LIMIT:
+        return []
+    tables.spread.held = None
+    row = dataclasses.replace(held, sequence=tables.member.sequence)
+    return _change_own(tables, row, "endpoint-serving", now)
+
+
+def _note(
+    tables: node.Tables, row: members.Member, peer: str, now: _clock.Instant
+) -> None:
+    spread = tables.spread
+    if not spread.news_by_node:
+        spread.news_due_s = now.mono_s + _SPREAD_S
+    spread.news_by_node[row.node] = (row, peer)
+    if not row.live:
+        spread.news_due_s = now.mono_s
+
+
+def _flush(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    spread = tables.spread
+    if not spread.news_by_node or now.mono_s < spread.news_due_s:
+        return []
+    if not tables.links_by_peer:
+        # A later neighbour gets the rows when tables are compared.
+        spread.news_by_node.clear()
         return []
-    for row in rows:
-        tables.members_by_node[row.node] = row
-    effects: list[_effects.Effect] = [distribution.view(tables)]
-    update = messages.MemberUpdate(rows=tuple(rows))
-    for peer in tables.links_by_peer:
-        if peer != skip:
-            effects.append(_effects.Send(peer=peer, message=update))
+    chosen = _take_news(tables, now)
+    by_sources: dict[str, messages.MemberUpdate] = {}
+    sources = {peer for _, peer in chosen}
+    effects: list[_effects.Effect] = []
+    for link in tables.links_by_peer.values():
+        group = _group(tables, link, sources)
+        if group not in by_sources:
+            by_sources[group] = messages.MemberUpdate(
+                rows=tuple(
+                    row for row, peer in chosen if _passes(tables, link, peer)
+                )
+            )
+        if by_sources[group].rows:
+            effects.append(
+                _effects.Send(peer=link.peer, message=by_sources[group])
+            )
     return effects
+
+
+def _take_news(
+    tables: node.Tables, now: _clock.Instant
+) -> list[tuple[members.Member, str]]:
+    spread = tables.spread
+    limit = max(1, round(tables.settings.relay.rows_per_s * _SPREAD_S))
+    ordered = sorted(
+        spread.news_by_node.values(), key=lambda item: item[0].live
+    )
+    dead = sum(not row.live for row, _ in ordered)
+    chosen = ordered[: max(limit, dead)]
+    for row, _ in chosen:
+        del spread.news_by_node[row.node]
+    spread.news_due_s = now.mono_s + _SPREAD_S
+    return chosen
+
+
+def _group(tables: node.Tables, link: links.Link, sources: set[str]) -> str:
+    if link.role is links.LinkRole.ROOT:
+        return "roots"
+    return link.peer if link.peer in sources else ""
+
+
+def _passes(tables: node.Tables, link: links.Link, source: str) -> bool:
+    if source == link.peer:
+        return False
+    if link.role is not links.LinkRole.ROOT:
+        return True
+    # All roots are linked to each other: one hop is enough.
+    origin = tables.links_by_peer.get(source)
+    return origin is None or origin.role is not links.LinkRole.ROOT
+
+
+def _send_buckets(
+    tables: node.Tables, peer: str, differing: set[int]
+) -> list[_effects.Effect]:
+    if not differing:
+        return []
+    found = [
+        row
+        for row in tables.members_by_node.values()
+        if table.bucket(row.node) in differing
+    ]
+    return [
+        _effects.Send(
+            peer=peer,
+            message=messages.MemberUpdate(
+                rows=tuple(found[start : start + _ROWS_PER_MESSAGE])
+            ),
+        )
+        for start in range(0, len(found), _ROWS_PER_MESSAGE)
+    ]
--- /dev/null
+++ b/src/arbutusstall/_systems/progress.py
@@ -0,0 +1,172 @@
+"""Sums up the tree which nodes have the configuration in force."""
+
+import dataclasses
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._tables import links
+from arbutusstall._tables import node
+from arbutusstall._wire import messages
+
+_REPORT_S = 0.2
+_MAX_NAMES = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CentreProgress:
+    """How far one data centre is.
+
+    Attributes:
+        known: Nodes that are reported by a root or in the member table.
+        in_force: Those reported to have the version in force.
+    """
+
+    data_centre: str
+    known: int
+    in_force: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MeshProgress:
+    """How far the whole mesh is, as one root knows it."""
+
+    version: int
+    known: int
+    in_force: int
+    lacking: tuple[str, ...]
+    centres: tuple[CentreProgress, ...]
+
+
+def on_in_force(
+    tables: node.Tables,
+    peer: str,
+    message: messages.InForce,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Note how far the nodes at and below a neighbour are."""
+    link = tables.links_by_peer.get(peer)
+    if link is None:
+        return []
+    tables.links_by_peer[peer] = dataclasses.replace(
+        link,
+        version=message.version,
+        known=message.known,
+        in_force=message.in_force,
+        minimum=message.minimum,
+        lacking=message.lacking,
+    )
+    if link.role is links.LinkRole.CHILD:
+        changed(tables, now)
+    return []
+
+
+def changed(tables: node.Tables, now: _clock.Instant) -> None:
+    """Report soon; several changes share one report."""
+    tables.next_report_s = min(tables.next_report_s, now.mono_s + _REPORT_S)
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Send the sum to the parent, or to the other roots."""
+    if now.mono_s < tables.next_report_s:
+        return []
+    tables.next_report_s = now.mono_s + tables.settings.relay.refresh_s
+    report = summary(tables)
+    return [
+        _effects.Send(peer=link.peer, message=report)
+        for link in tables.links_by_peer.values()
+        if link.role is not links.LinkRole.CHILD
+    ]
+
+
+def summary(tables: node.Tables) -> messages.InForce:
+    """Sum up this node and everything below it."""
+    version = tables.snapshot.version
+    known, in_force, minimum = 1, 1, version
+    lacking: list[str] = []
+    for link in tables.links_by_peer.values():
+        if link.role is not links.LinkRole.CHILD:
+            continue
+        known += link.known
+        in_force += _having(link, version)
+        minimum = min(minimum, link.minimum)
+        lacking += _lacking(link, version)
+    return messages.InForce(
+        version=version,
+        known=known,
+        in_force=in_force,
+        minimum=minimum,
+        lacking=tuple(lacking[:_MAX_NAMES]),
+    )
+
+
+def mesh(tables: node.Tables) -> MeshProgress:
+    """Sum up the subtrees of all roots that this root is linked to.
+
+    Where a data centre has a root that is not linked, the live rows of
+    the member table count as known.
+    """
+    own = summary(tables)
+    known = {tables.member.data_centre: own.known}
+    in_force = {tables.member.data_centre: own.in_force}
+    lacking = list(own.lacking)
+    for link in list(tables.links_by_peer.values()):
+        if link.role is not links.LinkRole.ROOT:
+            continue
+        centre = link.data_centre
+        known[centre] = known.get(centre, 0) + link.known
+        having = _having(link, own.version)
+        in_force[centre] = in_force.get(centre, 0) + having
+        lacking += _lacking(link, own.version)
+    for member in list(tables.members_by_node.values()):
+        if member.live:
+            known.setdefault(member.data_centre, 0)
+    centres = tuple(
+        CentreProgress(
+            data_centre=centre,
+            known=count
+            if _all_linked(tables, centre)
+            else max(count, _live(tables, centre)),
+            in_force=in_force.get(centre, 0),
+        )
+        for centre, count in sorted(known.items())
+    )
+    return MeshProgress(
+        version=own.version,
+        known=sum(centre.known for centre in centres),
+        in_force=sum(centre.in_force for centre in centres),
+        lacking=tuple(lacking[:_MAX_NAMES]),
+        centres=centres,
+    )
+
+
+def _all_linked(tables: node.Tables, centre: str) -> bool:
+    roots = [
+        root
+        for root in tables.agreed.roots_by_seat.values()
+        if root.data_centre == centre
+    ]
+    return bool(roots) and all(
+        root.node in tables.links_by_peer or root.node == tables.member.node
+        for root in roots
+    )
+
+
+def _live(tables: node.Tables, centre: str) -> int:
+    return sum(
+        member.live and member.data_centre == centre
+        for member in list(tables.members_by_node.values())
+    )
+
+
+def _having(link: links.Link, version: int) -> int:
+    if link.minimum >= version:
+        return link.known
+    return link.in_force if link.version >= version else 0
+
+
+def _lacking(link: links.Link, version: int) -> tuple[str, ...]:
+    if link.minimum >= version:
+        return ()
+    if link.version < version:
+        return (link.peer, *link.lacking)
+    return link.lacking
--- /dev/null
+++ b/src/arbutusstall/_systems/seats.py
@@ -0,0 +1,294 @@
+"""Fills the root seats of the own data centre through the log.
+
+A seat's holder renews it. Its silence is measured only while the log
+answers, so that an outage of the log costs nobody a seat.
+"""
+
+import math
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._log import records
+from arbutusstall._systems import rendezvous
+from arbutusstall._tables import agreed
+from arbutusstall._tables import links
+from arbutusstall._tables import node
+from arbutusstall._tables import relay
+
+_CLAIM_WINDOW_S = 2.0
+_CLAIM_RETRY_S = 3.0
+# The claim delays suit any number of claimants up to this one.
+_MAX_CLAIMANTS = 2_000
+_JITTER = 0.2
+
+
+def on_read(
+    tables: node.Tables, event: _effects.LogRead, now: _clock.Instant
+) -> None:
+    """Measure how long each seat has not been renewed."""
+    state = tables.relay
+    elapsed_s = 0.0
+    if state.log_read_s:
+        # A paused reader must not take its own pause for silence.
+        elapsed_s = min(
+            now.mono_s - state.log_read_s, tables.settings.log.poll_s
+        )
+    state.log_read_s = now.mono_s
+    state.log_failed = False
+    for key, root in tables.agreed.roots_by_seat.items():
+        if state.renewed_by_seat.get(key) != root.renewed:
+            state.renewed_by_seat[key] = root.renewed
+            state.age_s_by_seat[key] = 0.0
+        else:
+            state.age_s_by_seat[key] += elapsed_s
+
+
+def on_failed(
+    tables: node.Tables, event: _effects.LogFailed, now: _clock.Instant
+) -> None:
+    """Stop measuring until the log answers again."""
+    tables.relay.log_read_s = 0.0
+    tables.relay.log_failed = True
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Renew the own seat, step down from a lost one, or claim one."""
+    own = _own_seat(tables)
+    if own is None and tables.is_root:
+        return _step_down(tables)
+    if own is not None and not tables.relay.leaving:
+        return _hold(tables, own, now)
+    if not _may_claim(tables):
+        return _stop_reading(tables)
+    return _claim_vacant(tables, now)
+
+
+def vacant(tables: node.Tables) -> tuple[relay.VacantSeat, ...]:
+    """Return the seats of the own data centre without a live holder."""
+    found = []
+    for seat in range(tables.settings.relay.roots):
+        key = agreed.seat_key(tables.member.data_centre, seat)
+        root = tables.agreed.roots_by_seat.get(key)
+        renewed = root.renewed if root else agreed.NO_OFFSET
+        if root is None or _lapsed(tables, key, root):
+            found.append(relay.VacantSeat(seat=seat, renewed=renewed))
+    return tuple(found)
+
+
+def local_roots(tables: node.Tables) -> list[agreed.Root]:
+    """Return the known roots of the own data centre."""
+    state = tables.relay
+    if state.roots and not state.follows_log:
+        return list(state.roots)
+    return [
+        root
+        for root in tables.agreed.roots_by_seat.values()
+        if root.data_centre == tables.member.data_centre
+    ]
+
+
+def on_vacant(tables: node.Tables) -> list[_effects.Effect]:
+    """Read the log if this node is among the first to claim."""
+    state = tables.relay
+    if not state.vacant or state.follows_log or state.leaving:
+        return []
+    holders = {root.node for root in state.roots}
+    names = [
+        member.node
+        for member in tables.members_by_node.values()
+        if member.data_centre == tables.member.data_centre
+        and member.node not in holders
+        and member.live
+    ]
+    first = rendezvous.order(tables.member.data_centre, names)
+    if tables.member.node not in first[: len(state.vacant) + 1]:
+        return []
+    state.candidate = True
+    return follow(tables)
+
+
+def follow(tables: node.Tables) -> list[_effects.Effect]:
+    """Begin to read the log where this node left off."""
+    if tables.relay.follows_log:
+        return []
+    tables.relay.follows_log = True
+    tables.relay.log_read_s = 0.0
+    tables.relay.log_failed = False
+    tables.caught_up = False
+    return [_effects.FollowLog(offset=tables.agreed.offset)]
+
+
+def release(tables: node.Tables) -> list[_effects.Effect]:
+    """Give the own seat back because the node stops."""
+    own = _own_seat(tables)
+    if own is None:
+        return []
+    return [_renewal(tables, own, released=True)]
+
+
+def _own_seat(tables: node.Tables) -> agreed.Root | None:
+    name = tables.member.node
+    for root in tables.agreed.roots_by_seat.values():
+        if root.node == name:
+            return root
+    return None
+
+
+def _step_down(tables: node.Tables) -> list[_effects.Effect]:
+    tables.is_root = False
+    tables.relay.label = relay.NO_LABEL
+    tables.relay.attached = False
+    # Children may hold any label, so none can stay below this node.
+    peers = list(tables.links_by_peer)
+    tables.links_by_peer.clear()
+    effects: list[_effects.Effect] = [
+        _effects.Disconnect(peer=peer) for peer in peers
+    ]
+    return [_effects.Emit(event="root-seat-lost"), *effects]
+
+
+def _hold(
+    tables: node.Tables, own: agreed.Root, now: _clock.Instant
+) -> list[_effects.Effect]:
+    if own.incarnation != tables.member.incarnation:
+        # The seat is from before a restart; its addresses may be old.
+        return _retake(tables, own, now)
+    effects: list[_effects.Effect] = []
+    if not tables.is_root:
+        if not tables.caught_up:
+            return []
+        effects += _become_root(tables, own)
+    if now.mono_s >= tables.next_root_record_s:
+        wait_s = tables.settings.relay.seat_renew_s
+        wait_s *= 1.0 - _JITTER * tables.rng.random()
+        tables.next_root_record_s = now.mono_s + wait_s
+        effects.append(_renewal(tables, own, released=False))
+    return effects
+
+
+def _retake(
+    tables: node.Tables, own: agreed.Root, now: _clock.Instant
+) -> list[_effects.Effect]:
+    if not tables.caught_up or now.mono_s < tables.next_root_record_s:
+        return []
+    tables.next_root_record_s = now.mono_s + _CLAIM_RETRY_S
+    return [_claim(tables, own.seat, own.offset)]
+
+
+def _become_root(
+    tables: node.Tables, own: agreed.Root
+) -> list[_effects.Effect]:
+    tables.is_root = True
+    tables.relay.label = relay.ROOT_LABEL
+    tables.relay.attached = True
+    tables.relay.claim_due_s = 0.0
+    tables.relay.candidate = False
+    tables.relay.moving_from = ""
+    tables.relay.candidates.clear()
+    tables.attaching_to = ""
+    tables.spread.alive_s_by_node.clear()
+    effects: list[_effects.Effect] = [
+        _effects.Emit(event="root-seat-taken", fields={"seat": own.seat})
+    ]
+    for link in list(tables.links_by_peer.values()):
+        if link.role is links.LinkRole.PARENT:
+            del tables.links_by_peer[link.peer]
+            effects.append(_effects.Disconnect(peer=link.peer))
+    return effects
+
+
+def _lapsed(tables: node.Tables, key: str, root: agreed.Root) -> bool:
+    if root.node == tables.member.node:
+        return False
+    told = {seat.renewed for seat in tables.relay.vacant}
+    if root.renewed in told:
+        return True
+    limit_s = tables.settings.relay.seat_expire_s
+    if root.node not in tables.links_by_peer and (
+        root.address in tables.relay.retry_s_by_address
+    ):
+        # It could not be reached either; two missed renewals suffice.
+        limit_s /= 2
+    return tables.relay.age_s_by_seat.get(key, 0.0) > limit_s
+
+
+def _may_claim(tables: node.Tables) -> bool:
+    state = tables.relay
+    if tables.is_root or state.leaving or not state.follows_log:
+        return False
+    return tables.caught_up and bool(vacant(tables))
+
+
+def _stop_reading(tables: node.Tables) -> list[_effects.Effect]:
+    state = tables.relay
+    state.claim_due_s = 0.0
+    attached = any(
+        link.role is links.LinkRole.PARENT
+        for link in tables.links_by_peer.values()
+    )
+    if not attached or not state.follows_log or tables.is_root:
+        return []
+    if state.candidate and not tables.caught_up:
+        return []
+    state.candidate = False
+    state.follows_log = False
+    return [_effects.StopLog()]
+
+
+def _claim_vacant(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    state = tables.relay
+    if not state.claim_due_s:
+        state.claim_due_s = now.mono_s + _claim_delay_s(tables)
+        return []
+    if now.mono_s < state.claim_due_s:
+        return []
+    state.claim_due_s = now.mono_s + _CLAIM_RETRY_S + _claim_delay_s(tables)
+    by_name = {str(seat.seat): seat for seat in vacant(tables)}
+    seat = by_name[rendezvous.order(tables.member.node, by_name)[0]].seat
+    key = agreed.seat_key(tables.member.data_centre, seat)
+    root = tables.agreed.roots_by_seat.get(key)
+    replaces = root.offset if root else agreed.NO_OFFSET
+    return [_claim(tables, seat, replaces)]
+
+
+def _claim_delay_s(tables: node.Tables) -> float:
+    # With this distribution a few claimants answer first, however many
+    # there are: each doubling of them only moves the first one ahead.
+    draw = max(tables.rng.random(), 1.0 / _MAX_CLAIMANTS)
+    return _CLAIM_WINDOW_S * (1.0 + math.log(draw) / math.log(_MAX_CLAIMANTS))
+
+
+def _claim(tables: node.Tables, seat: int, replaces: int) -> _effects.Append:
+    own = tables.member
+    tables.relay.claims += 1
+    name = f"{own.node}/{own.incarnation}/{tables.relay.claims}"
+    return _effects.Append(
+        record=records.RootRecord(
+            record_id=f"root/{name}",
+            node=own.node,
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+            address=own.relay,
+            admin=tables.settings.addresses.admin,
+            seat=seat,
+            replaces=replaces,
+        )
+    )
+
+
+def _renewal(
+    tables: node.Tables, own: agreed.Root, released: bool
+) -> _effects.Append:
+    tables.relay.claims += 1
+    name = f"{own.node}/{own.incarnation}/{tables.relay.claims}"
+    return _effects.Append(
+        record=records.RootRenewal(
+            record_id=f"root-renewal/{name}",
+            data_centre=own.data_centre,
+            seat=own.seat,
+            claim=own.offset,
+            released=released,
+        )
+    )
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -1,26 +1,41 @@
-"""Finds a parent for this node or makes it a root relay."""
+"""Finds and keeps this node's place in the distribution tree.
+
+Loops are impossible: a node keeps its label as long as it has links,
+and a link goes only from a lower label to a higher one.
+"""
+
+import dataclasses
 
 from arbutusstall import _clock
 from arbutusstall import _effects
-from arbutusstall._log import records
+from arbutusstall._systems import admit
+from arbutusstall._systems import attach
 from arbutusstall._systems import distribution
 from arbutusstall._systems import membership
-from arbutusstall._tables import agreed
+from arbutusstall._systems import progress
+from arbutusstall._systems import rows
+from arbutusstall._systems import seats
 from arbutusstall._tables import links
 from arbutusstall._tables import node
+from arbutusstall._tables import relay
 from arbutusstall._wire import messages
 
-_REPORT_S = 0.2
-_ATTACH_S = 1.0
+# A node that did not run for so long cannot judge its links by silence.
+_PAUSE_S = 1.0
+_DETACHED_S = 5.0
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    """Attach to a parent or to the other roots where links are missing."""
-    if not tables.caught_up and not tables.is_root:
-        return []
-    effects = _take_root_place(tables, now)
-    effects += _attach(tables, now)
-    effects += _report(tables, now)
+    """Watch the links, look for missing ones and send heartbeats."""
+    state = tables.relay
+    if now.mono_s - state.last_run_s > _PAUSE_S:
+        for peer in state.heard_s_by_peer:
+            state.heard_s_by_peer[peer] = now.mono_s
+    state.last_run_s = now.mono_s
+    effects = _drop_silent(tables, now)
+    effects += _follow_parent(tables, now)
+    effects += attach.run(tables, now)
+    effects += _heartbeat(tables, now)
     return effects
 
 
@@ -30,25 +45,40 @@
     message: messages.Hello,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Admit a child or another root."""
+    """Admit a child or another root, or turn it away."""
+    refusal = admit.refusal(tables, message, now)
+    if refusal is not None:
+        tables.links_by_peer.pop(peer, None)
+        return [
+            _effects.Send(peer=peer, message=refusal),
+            _effects.Disconnect(peer=peer),
+        ]
     role = links.LinkRole.ROOT if message.root else links.LinkRole.CHILD
     tables.links_by_peer[peer] = links.Link(
         peer=peer,
         address=message.address,
         role=role,
         version=message.version,
+        minimum=message.version,
+        data_centre=message.data_centre,
+    )
+    tables.relay.heard_s_by_peer[peer] = now.mono_s
+    progress.changed(tables, now)
+    welcome = messages.Welcome(
+        node=tables.member.node,
+        data_centre=tables.member.data_centre,
+        label=tables.relay.label,
+        local_size=admit.local_size(tables),
     )
     effects: list[_effects.Effect] = [
-        _effects.Send(
-            peer=peer, message=messages.Welcome(node=tables.member.node)
-        ),
-        membership.everything(tables, peer),
+        _effects.Send(peer=peer, message=welcome),
+        membership.digest(tables, peer, reply=True),
     ]
-    if role is links.LinkRole.CHILD and message.digest != tables.digest:
-        update = messages.SnapshotUpdate(
-            digest=tables.digest, snapshot=tables.snapshot
-        )
-        effects.append(_effects.Send(peer=peer, message=update))
+    if role is links.LinkRole.CHILD:
+        effects.append(_effects.Send(peer=peer, message=_seats(tables)))
+        effects += distribution.hand_to(tables, peer)
+    if message.version > tables.snapshot.version:
+        effects += distribution.ask(tables, peer, now)
     return effects
 
 
@@ -59,102 +89,276 @@
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Use the link to a parent or another root."""
-    role = links.LinkRole.ROOT if tables.is_root else links.LinkRole.PARENT
+    state = tables.relay
+    address = tables.attaching_to
+    tables.attaching_to = ""
+    state.local_size = max(message.local_size, 1)
+    state.heard_s_by_peer[peer] = now.mono_s
+    if tables.is_root:
+        return _link_root(tables, peer, address, message, now)
+    if attach.parent(tables) is not None and not state.moving_from:
+        return [_effects.Disconnect(peer=peer)]
+    if not attach.fits(tables, message.label):
+        return [_effects.Disconnect(peer=peer)]
+    effects = _leave_old_parent(tables, peer)
+    if not attach.has_children(tables):
+        state.label = message.label + 1
     tables.links_by_peer[peer] = links.Link(
-        peer=peer, address=tables.attaching_to, role=role
+        peer=peer,
+        address=address,
+        role=links.LinkRole.PARENT,
+        data_centre=message.data_centre,
+        attached=True,
+        label=message.label,
     )
-    tables.attaching_to = ""
-    tables.next_report_s = now.mono_s
-    effects: list[_effects.Effect] = [membership.everything(tables, peer)]
-    if not tables.is_root:
-        effects.append(_effects.StopLog())
+    state.rounds = 0
+    state.candidates.clear()
+    progress.changed(tables, now)
+    effects.append(
+        _effects.Emit(
+            event="parent-attached",
+            fields={"peer": peer, "label": state.label},
+        )
+    )
+    return effects + _set_attached(tables, True, now)
+
+
+def on_refusal(
+    tables: node.Tables,
+    peer: str,
+    message: messages.Refusal,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Ask the named candidates, or the same one later."""
+    state = tables.relay
+    state.local_size = max(state.local_size, message.local_size)
+    link = tables.links_by_peer.get(peer)
+    if link is not None and link.role is links.LinkRole.PARENT:
+        # The parent stops; its link is used until another one is found.
+        state.moving_from = peer
+        attach.prefer(tables, message.others)
+        tables.next_attach_s = now.mono_s
+        return []
+    attach.refused(tables, message, now)
+    return [_effects.Disconnect(peer=peer)]
+
+
+def on_heartbeat(
+    tables: node.Tables,
+    peer: str,
+    message: messages.Heartbeat,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Compare what the neighbour has with what is here."""
+    link = tables.links_by_peer.get(peer)
+    if link is None:
+        return [_effects.Disconnect(peer=peer)]
+    tables.links_by_peer[peer] = dataclasses.replace(
+        link, attached=message.attached, label=message.label
+    )
+    effects: list[_effects.Effect] = []
+    if link.role is links.LinkRole.PARENT:
+        effects += _set_attached(tables, message.attached, now)
+    if message.version > tables.snapshot.version:
+        effects += distribution.ask(tables, peer, now)
+    if link.role is not links.LinkRole.CHILD:
+        effects += membership.compare(tables, peer, message.members, now)
     return effects
 
 
+def on_seats(
+    tables: node.Tables,
+    peer: str,
+    message: messages.SeatsUpdate,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Keep the root seats that the parent tells, and pass them on."""
+    state = tables.relay
+    same = (state.roots, state.vacant) == (message.roots, message.vacant)
+    if tables.is_root or same:
+        return []
+    state.roots = message.roots
+    state.vacant = message.vacant
+    effects = _to_children(tables, message)
+    return effects + seats.on_vacant(tables)
+
+
 def on_lost(
     tables: node.Tables, event: _effects.LinkLost, now: _clock.Instant
 ) -> list[_effects.Effect]:
     """Forget a link; `run` looks for another one."""
-    tables.links_by_peer.pop(event.peer, None)
+    state = tables.relay
     if tables.attaching_to == event.peer:
-        tables.attaching_to = ""
-    return []
+        attach.failed(tables, now)
+    link = tables.links_by_peer.pop(event.peer, None)
+    state.heard_s_by_peer.pop(event.peer, None)
+    if state.moving_from == event.peer:
+        state.moving_from = ""
+    if link is None:
+        return []
+    progress.changed(tables, now)
+    if link.role is not links.LinkRole.PARENT:
+        return []
+    tables.next_attach_s = now.mono_s
+    emit = _effects.Emit(
+        event="parent-lost",
+        fields={"peer": event.peer, "reason": event.reason},
+    )
+    return [emit, *_set_attached(tables, False, now)]
 
 
-def _own_roots(tables: node.Tables) -> list[agreed.Root]:
-    return [
-        root
-        for root in tables.agreed.roots_by_node.values()
-        if root.data_centre == tables.member.data_centre
-    ]
+def on_left(
+    tables: node.Tables, event: _effects.Left, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Hand the children and the seat over if the whole node stops."""
+    if not event.stopping:
+        return []
+    tables.relay.leaving = True
+    refusal = messages.Refusal(
+        node=tables.member.node,
+        retry_after_s=tables.settings.relay.retry_cap_s,
+        others=admit.other_parents(tables),
+        local_size=admit.local_size(tables),
+    )
+    return seats.release(tables) + _to_children(tables, refusal)
 
 
-def _take_root_place(
-    tables: node.Tables, now: _clock.Instant
+def on_log_failed(
+    tables: node.Tables, event: _effects.LogFailed, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Draw no conclusion from silence while the log is out."""
+    seats.on_failed(tables, event, now)
+    return []
+
+
+def on_log_read(
+    tables: node.Tables, event: _effects.LogRead, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    own = tables.member
-    if own.node in tables.agreed.roots_by_node:
-        tables.is_root = True
+    """Watch the seats; at a root, tell the children of changes."""
+    seats.on_read(tables, event, now)
+    if not tables.is_root:
         return []
-    full = len(_own_roots(tables)) >= tables.settings.relay.roots
-    if full or now.mono_s < tables.next_root_record_s:
+    update = _seats(tables)
+    state = tables.relay
+    if (state.roots, state.vacant) == (update.roots, update.vacant):
         return []
-    tables.next_root_record_s = now.mono_s + _ATTACH_S
-    record = records.RootRecord(
-        record_id=f"root/{own.node}/{own.incarnation}",
-        node=own.node,
-        data_centre=own.data_centre,
-        address=own.relay,
-        admin=tables.settings.addresses.admin,
+    state.roots = update.roots
+    # `vacant` is what is told; a root judges by the log alone.
+    state.vacant = update.vacant
+    return _to_children(tables, update)
+
+
+def _link_root(
+    tables: node.Tables,
+    peer: str,
+    address: str,
+    message: messages.Welcome,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    tables.links_by_peer[peer] = links.Link(
+        peer=peer,
+        address=address,
+        role=links.LinkRole.ROOT,
+        data_centre=message.data_centre,
     )
-    return [_effects.Append(record=record)]
+    tables.relay.retry_s_by_address.pop(address, None)
+    progress.changed(tables, now)
+    return []
 
 
-def _attach(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    if tables.attaching_to or now.mono_s < tables.next_attach_s:
+def _leave_old_parent(tables: node.Tables, new: str) -> list[_effects.Effect]:
+    old = tables.relay.moving_from
+    tables.relay.moving_from = ""
+    if not old or old == new or old not in tables.links_by_peer:
         return []
-    address = _wanted(tables)
-    if not address:
+    del tables.links_by_peer[old]
+    return [_effects.Disconnect(peer=old)]
+
+
+def _set_attached(
+    tables: node.Tables, attached: bool, now: _clock.Instant
+) -> list[_effects.Effect]:
+    state = tables.relay
+    if state.attached == attached:
         return []
-    tables.next_attach_s = now.mono_s + _ATTACH_S * tables.rng.random()
-    tables.attaching_to = address
-    hello = messages.Hello(
-        node=tables.member.node,
-        data_centre=tables.member.data_centre,
-        address=tables.member.relay,
+    state.attached = attached
+    state.detached_s = now.mono_s
+    beat = _beat(tables)
+    return _to_children(tables, beat)
+
+
+def _follow_parent(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    # A parent without a way to a root is left only when it stays so:
+    # it mostly finds another one sooner than its whole subtree could.
+    state = tables.relay
+    link = attach.parent(tables)
+    if link is None or state.attached or state.moving_from:
+        return []
+    limit_s = _DETACHED_S * (1.0 + state.label)
+    if now.mono_s - state.detached_s >= limit_s:
+        state.moving_from = link.peer
+        tables.next_attach_s = now.mono_s
+    return []
+
+
+def _drop_silent(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    limit_s = tables.settings.relay.silent_s
+    heard = tables.relay.heard_s_by_peer
+    effects: list[_effects.Effect] = []
+    for peer in list(tables.links_by_peer):
+        if now.mono_s - heard.setdefault(peer, now.mono_s) <= limit_s:
+            continue
+        effects.append(_effects.Disconnect(peer=peer))
+        lost = _effects.LinkLost(peer=peer, reason="silent")
+        effects += on_lost(tables, lost, now)
+    return effects
+
+
+def _heartbeat(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    state = tables.relay
+    if now.mono_s < state.next_heartbeat_s:
+        return []
+    state.next_heartbeat_s = now.mono_s + tables.settings.relay.heartbeat_s
+    beat = _beat(tables)
+    return [
+        _effects.Send(peer=peer, message=beat) for peer in tables.links_by_peer
+    ]
+
+
+def _beat(tables: node.Tables) -> messages.Heartbeat:
+    return messages.Heartbeat(
+        attached=tables.relay.attached,
+        label=max(tables.relay.label, relay.ROOT_LABEL),
         version=tables.snapshot.version,
-        digest=tables.digest,
-        root=tables.is_root,
+        members=rows.total(tables),
     )
-    return [_effects.Connect(address=address, hello=hello)]
 
 
-def _wanted(tables: node.Tables) -> str:
-    if tables.is_root:
-        # Of two roots the one with the smaller id opens the link.
-        missing = [
-            root.address
-            for root in tables.agreed.roots_by_node.values()
-            if root.node > tables.member.node
-            and root.node not in tables.links_by_peer
-        ]
-        return tables.rng.choice(missing) if missing else ""
-    roles = {link.role for link in tables.links_by_peer.values()}
-    if links.LinkRole.PARENT in roles:
-        return ""
-    roots = _own_roots(tables)
-    if len(roots) < tables.settings.relay.roots:
-        return ""
-    return tables.rng.choice(roots).address
-
-
-def _report(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    if now.mono_s < tables.next_report_s:
-        return []
-    tables.next_report_s = now.mono_s + tables.settings.relay.refresh_s
-    report = distribution.summary(tables)
+def _seats(tables: node.Tables) -> messages.SeatsUpdate:
+    if not tables.is_root:
+        return messages.SeatsUpdate(
+            roots=tables.relay.roots, vacant=tables.relay.vacant
+        )
+    # Renewals are left out: they would be news every few seconds.
+    vacant = seats.vacant(tables)
+    roots = tuple(
+        dataclasses.replace(root, renewed=root.offset)
+        for root in seats.local_roots(tables)
+    )
+    return messages.SeatsUpdate(roots=roots, vacant=vacant)
+
+
+def _to_children(
+    tables: node.Tables, message: messages.Message
+) -> list[_effects.Effect]:
     return [
-        _effects.Send(peer=link.peer, message=report)
+        _effects.Send(peer=link.peer, message=message)
         for link in tables.links_by_peer.values()
-        if link.role is not links.LinkRole.CHILD
+        if link.role is links.LinkRole.CHILD
     ]
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -104,13 +104,28 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Root:
-    """A root relay that reads the log for its data centre."""
+    """A root relay that reads the log for its data centre.
+
+    Attributes:
+        incarnation: Of the node process that claimed the seat.
+        seat: Number of the seat within the data centre.
+        offset: Log offset of the accepted claim.
+        renewed: Log offset of the newest claim or renewal.
+    """
 
     node: str
     data_centre: str
     address: str
     admin: str
+    incarnation: int
+    seat: int
     offset: int
+    renewed: int
+
+
+def seat_key(data_centre: str, seat: int) -> str:
+    """Return the key of a root seat."""
+    return f"{data_centre}/{seat}"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -172,7 +187,7 @@
         default_factory=dict
     )
     lease: Lease = dataclasses.field(default_factory=Lease)
-    roots_by_node: abc.Mapping[str, Root] = dataclasses.field(
+    roots_by_seat: abc.Mapping[str, Root] = dataclasses.field(
         default_factory=dict
     )
     record_ids: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
--- a/src/arbutusstall/_tables/members.py
+++ b/src/arbutusstall/_tables/members.py
@@ -43,6 +43,11 @@
     inbound: str = ""
     relay: str = ""
 
+    @property
+    def live(self) -> bool:
+        """Whether the node is there, with or without a target."""
+        return self.state in (MemberState.STARTING, MemberState.SERVING)
+
     @property
     def rank(self) -> tuple[int, int]:
         """Order among the rows of one node."""
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -1,5 +1,6 @@
 """All tables of one node."""
 
+import collections
 import dataclasses
 import random
 
@@ -8,6 +9,7 @@
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import relay as relay_tables
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -59,3 +61,12 @@
         default_factory=dict
     )
     attaching_to: str = ""
+    relay: relay_tables.RelayTable = dataclasses.field(
+        default_factory=relay_tables.RelayTable
+    )
+    spread: relay_tables.SpreadTable = dataclasses.field(
+        default_factory=relay_tables.SpreadTable
+    )
+    history: collections.OrderedDict[int, agreed_tables.Snapshot] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
--- /dev/null
+++ b/src/arbutusstall/_tables/relay.py
@@ -0,0 +1,133 @@
+"""State of this node's place in the distribution tree."""
+
+import dataclasses
+
+from arbutusstall._tables import agreed
+from arbutusstall._tables import members
+
+ROOT_LABEL = 0
+NO_LABEL = -1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VacantSeat:
+    """A root seat whose holder is gone.
+
+    Attributes:
+        seat: Number of the seat within the data centre.
+        renewed: Log offset of its last claim or renewal, -1 if none.
+    """
+
+    seat: int
+    renewed: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RelayTable:
+    """What the tree and seat systems keep; changed only by them.
+
+    Attributes:
+        follows_log: Whether this node reads the log now.
+        label: Position in the tree: 0 at a root, and always above the
+            parent's label; -1 while there is neither parent nor child.
+        attached: Whether the chain of parents reaches a root.
+        detached_s: Monotonic time since when it does not.
+        leaving: Whether this node stops and hands its children over.
+        moving_from: Parent that asked this node to move away.
+        candidates: Addresses to ask for admission, best first.
+        rounds: Candidate lists that were used up without success.
+        attach_began_s: When the running attempt to attach began.
+        tokens: Joiners that may be admitted now.
+        heard_s_by_peer: When something came over a link last.
+        retry_s_by_address: Earliest time to ask a root again.
+        wanted_s_by_peer: When a whole snapshot was last asked for.
+        local_size: Members of the own data centre, as last heard.
+        roots: Root relays of the own data centre, told by the parent.
+        vacant: Vacant seats of the own data centre, told by the parent.
+        log_read_s: When the log last answered; 0 after a failure.
+        age_s_by_seat: Observed time since each seat's last renewal.
+        renewed_by_seat: The renewal that each age counts from.
+        claim_due_s: When to claim a vacant seat; 0 if none is planned.
+        candidate: Whether this node reads the log only to claim a seat.
+        log_failed: Whether the log's last answer was a failure.
+        claims: Claims and renewals that this process has sent.
+    """
+
+    follows_log: bool = True
+    label: int = NO_LABEL
+    attached: bool = False
+    detached_s: float = 0.0
+    leaving: bool = False
+    moving_from: str = ""
+    candidates: list[str] = dataclasses.field(default_factory=list)
+    rounds: int = 0
+    attach_began_s: float = 0.0
+    tokens: float = 0.0
+    tokens_s: float = 0.0
+    last_run_s: float = 0.0
+    next_heartbeat_s: float = 0.0
+    heard_s_by_peer: dict[str, float] = dataclasses.field(default_factory=dict)
+    retry_s_by_address: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    wanted_s_by_peer: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    local_size: int = 1
+    roots: tuple[agreed.Root, ...] = ()
+    vacant: tuple[VacantSeat, ...] = ()
+    log_read_s: float = 0.0
+    age_s_by_seat: dict[str, float] = dataclasses.field(default_factory=dict)
+    renewed_by_seat: dict[str, int] = dataclasses.field(default_factory=dict)
+    claim_due_s: float = 0.0
+    candidate: bool = False
+    log_failed: bool = False
+    claims: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class SpreadTable:
+    """What the membership systems keep; changed only by them.
+
+    Attributes:
+        buckets: XOR of the hashes of the live rows, by bucket.
+        local_live: Live rows of the own data centre.
+        news_by_node: Changed rows and the peer that each came from.
+        gone_s_by_node: When a row was learnt to be dead.
+        tombstones_by_node: Rank and time of removed rows.
+        alive_s_by_node: When a node was last reported alive; at roots.
+        below_s_by_node: The same, for nodes below this one only.
+        serving_by_service: Serving members by service and node.
+        tuples_by_service: The same as the call path reads it.
+        view_due: Whether the call path has to be told.
+        penalty: Flap penalty of the own endpoint, decays with time.
+        held: Own row that is held back because of flapping.
+    """
+
+    local_live: int = 0
+    buckets: list[int] = dataclasses.field(default_factory=list)
+    news_by_node: dict[str, tuple[members.Member, str]] = dataclasses.field(
+        default_factory=dict
+    )
+    news_due_s: float = 0.0
+    gone_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
+    tombstones_by_node: dict[str, tuple[tuple[int, int], float]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    alive_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
+    below_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
+    serving_by_service: dict[str, dict[str, members.Member]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    tuples_by_service: dict[str, tuple[members.Member, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    view_due: bool = False
+    next_refresh_s: float = 0.0
+    next_sweep_s: float = 0.0
+    synced_s_by_peer: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    penalty: float = 0.0
+    penalty_s: float = 0.0
+    held: members.Member | None = None
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -6,6 +6,7 @@
 from collections import abc
 import dataclasses
 from typing import Any
+import zlib
 
 import msgspec
 
@@ -13,11 +14,21 @@
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import relay
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Hello:
-    """First message of a child to the parent it attaches to."""
+    """First message of a child to the parent it attaches to.
+
+    Attributes:
+        address: Relay address of the sender.
+        version: Configuration that the sender has in force.
+        digest: Its digest.
+        root: Whether the sender is a root that links to another.
+        label: Position in the tree if the sender has children, else -1.
+        tier: Level that suits the sender; roots admit the first only.
+    """
 
     node: str
     data_centre: str
@@ -25,13 +36,23 @@
     version: int
     digest: str
     root: bool = False
+    label: int = -1
+    tier: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Welcome:
-    """Accepts a child."""
+    """Accepts a child.
+
+    Attributes:
+        label: Position of the sender in the tree.
+        local_size: Members of the data centre that the sender knows.
+    """
 
     node: str
+    data_centre: str = ""
+    label: int = 0
+    local_size: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,6 +67,74 @@
     node: str
     retry_after_s: float
     others: tuple[str, ...] = ()
+    local_size: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """Shows that the link works and what the sender's place is.
+
+    Attributes:
+        attached: Whether the sender's chain of parents reaches a root.
+        members: XOR of the hashes of the sender's live member rows.
+    """
+
+    attached: bool
+    label: int
+    version: int
+    members: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SeatsUpdate:
+    """The root seats of the data centre, on their way down."""
+
+    roots: tuple[agreed.Root, ...]
+    vacant: tuple[relay.VacantSeat, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotDelta:
+    """The difference between two configurations.
+
+    Attributes:
+        base: Version that the difference applies to.
+        digest: Digest of the result.
+        changed: The result, with only the entries that are new or
+            differ in its mappings.
+        removed: Keys of the entries to remove, by field.
+    """
+
+    base: int
+    digest: str
+    changed: agreed.Snapshot
+    removed: abc.Mapping[str, tuple[str, ...]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotWanted:
+    """Asks for the configuration if it is newer than ``version``."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberDigest:
+    """Hashes of the member table by bucket.
+
+    Attributes:
+        reply: Whether the receiver answers with its own digest.
+    """
+
+    buckets: tuple[int, ...]
+    reply: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Alive:
+    """Nodes at and below the sender, on their way to the roots."""
+
+    nodes: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,11 +154,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InForce:
-    """Sums up which nodes at and below the sender have a version."""
+    """Sums up which nodes at and below the sender have a version.
+
+    Attributes:
+        minimum: Oldest version that one of them has in force.
+        lacking: Some of those that lack ``version``.
+    """
 
     version: int
     known: int
     in_force: int
+    minimum: int = 0
     lacking: tuple[str, ...] = ()
 
 
@@ -140,6 +235,12 @@
     | Refusal
     | SnapshotUpdate
     | MemberUpdate
+    | Heartbeat
+    | SeatsUpdate
+    | SnapshotDelta
+    | SnapshotWanted
+    | MemberDigest
+    | Alive
     | InForce
     | OutcomeReport
     | CallRequest
@@ -152,6 +253,12 @@
     "refusal": Refusal,
     "snapshot": SnapshotUpdate,
     "members": MemberUpdate,
+    "heartbeat": Heartbeat,
+    "seats": SeatsUpdate,
+    "delta": SnapshotDelta,
+    "snapshot-wanted": SnapshotWanted,
+    "member-digest": MemberDigest,
+    "alive": Alive,
     "in-force": InForce,
     "outcomes": OutcomeReport,
     "call": CallRequest,
@@ -167,9 +274,28 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+_COMPRESSED = "zlib"
+_COMPRESS_FROM_BYTES = 400
+_MAX_BYTES = 64 * 1024 * 1024
+# Calls are not compressed: it would add to their latency.
+_COMPRESSIBLE = (
+    SnapshotUpdate,
+    SnapshotDelta,
+    MemberUpdate,
+    SeatsUpdate,
+    Alive,
+    OutcomeReport,
+)
+
+
 def encode(message: Message) -> bytes:
-    """Return the message as msgpack bytes."""
-    return _ENCODER.encode((_NAMES[type(message)], message))
+    """Return the message as msgpack bytes, compressed if it is large."""
+    data = _ENCODER.encode((_NAMES[type(message)], message))
+    if len(data) < _COMPRESS_FROM_BYTES:
+        return data
+    if not isinstance(message, _COMPRESSIBLE):
+        return data
+    return _ENCODER.encode((_COMPRESSED, zlib.compress(data, level=1)))
 
 
 def decode(data: bytes) -> Message:
@@ -180,14 +306,30 @@
     """
     try:
         kind, body = _ENVELOPE.decode(data)
+        if kind == _COMPRESSED:
+            kind, body = _ENVELOPE.decode(_decompress(body))
         decoder = _DECODERS.get(kind)
         if decoder is None:
-            raise errors.WireError(
-                step="message.decode", peer="-", reason=f"kind {kind!r}"
-            )
+            raise _invalid(f"kind {kind!r}")
         message: Message = decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise errors.WireError(
-            step="message.decode", peer="-", reason=str(exc)
-        ) from exc
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+        zlib.error,
+    ) as exc:
+        raise _invalid(str(exc)) from exc
     return message
+
+
+def _decompress(body: msgspec.Raw) -> bytes:
+    packed = msgspec.msgpack.decode(body, type=bytes)
+    stream = zlib.decompressobj()
+    data = stream.decompress(packed, _MAX_BYTES)
+    if not stream.eof:
+        raise _invalid("compressed data is cut or too large")
+    return data
+
+
+def _invalid(reason: str) -> errors.WireError:
+    return errors.WireError(step="message.decode", peer="-", reason=reason)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -16,6 +16,9 @@
 from arbutusstall._wire import messages
 
 _LOST_AFTER_S = 0.05
+# What HTTP/2, TCP and IP add to a small message, with its share of
+# acknowledgements.
+FRAME_BYTES = 120
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -45,7 +48,11 @@
         self.log_out = False
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
-        self._links: set[tuple[str, str]] = set()
+        self.one_way: set[tuple[str, str]] = set()
+        self.silent: set[frozenset[str]] = set()
+        self._links: dict[tuple[str, str], int] = {}
+        self._aborted: set[int] = set()
+        self._sizes: tuple[messages.Message | None, int] = (None, 0)
         self._followers: set[str] = set()
         self._names_by_address: dict[str, str] = {}
         self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
@@ -71,8 +78,10 @@
         """End a node without notice."""
         del self.cores_by_name[name]
         self._followers.discard(name)
-        for link in [link for link in self._links if name in link]:
-            self._drop(*link)
+        for one, other in list(self._links):
+            if one == name:
+                self._aborted.add(self._links[one, other])
+                self._close(name, other)
 
     def after(self, seconds: float, action: abc.Callable[[], None]) -> None:
         """Call ``action`` in ``seconds`` of the driver's time."""
@@ -139,7 +148,7 @@
                 case protocols.Connect():
                     self._connect(name, effect)
                 case protocols.Disconnect():
-                    self._drop(name, effect.peer)
+                    self._disconnect(name, effect.peer)
                 case protocols.Send():
                     self._send(name, effect.peer, effect.message)
                 case protocols.PutInForce():
@@ -177,36 +186,93 @@
             ),
         )
 
+    def cut_links(self, names: abc.Collection[str]) -> None:
+        """Break the open links between ``names`` and all others."""
+        for one, other in list(self._links):
+            if (one in names) != (other in names):
+                self.cut.add(frozenset((one, other)))
+                self._aborted.add(self._links[one, other])
+                self._close(one, other)
+                self._close(other, one)
+
+    def parent(self, name: str) -> str:
+        """Return the parent of a node, empty if it has none."""
+        rows = self.cores_by_name[name].tables.links_by_peer.values()
+        return next(
+            (row.peer for row in rows if row.role.value == "parent"), ""
+        )
+
+    def roots(self) -> list[str]:
+        """Return the nodes that act as roots."""
+        return [
+            name
+            for name, core in self.cores_by_name.items()
+            if core.tables.is_root
+        ]
+
     def _connect(self, name: str, effect: protocols.Connect) -> None:
         other = self._names_by_address.get(effect.address, "")
         down = other not in self.cores_by_name or other in self.frozen
-        if down or frozenset((name, other)) in self.cut:
+        pair = frozenset((name, other))
+        if pair in self.silent:
+            return
+        if down or pair in self.cut:
             lost = protocols.LinkLost(peer=effect.address, reason="down")
             self.after(_LOST_AFTER_S, lambda: self.put(name, lost))
             return
-        self._links.add((name, other))
-        self._links.add((other, name))
+        connection = next(self._order)
+        self._links[name, other] = connection
+        self._links[other, name] = connection
         self._send(name, other, effect.hello)
 
     def _send(self, name: str, peer: str, message: messages.Message) -> None:
-        if (name, peer) not in self._links:
+        connection = self._links.get((name, peer))
+        if connection is None:
             return
-        size = len(messages.encode(message))
+        size = self._size(message)
         self.traffic_by_name[name].sent_bytes += size
         self.traffic_by_name[name].sent += 1
         self.traffic_by_name[peer].received_bytes += size
         received = protocols.Received(peer=name, message=message)
         self.after(
             self.delay_s,
-            lambda: (name, peer) in self._links and self.put(peer, received),
+            lambda: self._deliver(connection, name, peer, received),
         )
 
-    def _drop(self, name: str, peer: str) -> None:
-        for one, other in ((name, peer), (peer, name)):
-            if (one, other) in self._links:
-                self._links.discard((one, other))
-                lost = protocols.LinkLost(peer=other, reason="closed")
-                self.after(
-                    _LOST_AFTER_S,
-                    lambda one=one, lost=lost: self.put(one, lost),
-                )
+    def _deliver(
+        self,
+        connection: int,
+        name: str,
+        peer: str,
+        received: protocols.Received,
+    ) -> None:
+        lost = (name, peer) in self.one_way
+        lost = lost or frozenset((name, peer)) in self.silent
+        if connection not in self._aborted and not lost:
+            self.put(peer, received)
+
+    def _size(self, message: messages.Message) -> int:
+        if self._sizes[0] is not message:
+            size = len(messages.encode(message)) + FRAME_BYTES
+            self._sizes = (message, size)
+        return self._sizes[1]
+
+    def _disconnect(self, name: str, peer: str) -> None:
+        peer = self._names_by_address.get(peer, peer)
+        if self._links.pop((name, peer), None) is not None:
+            self._close(name, peer)
+
+    def _close(self, name: str, peer: str) -> None:
+        # The other side learns it; the side that closed knows.
+        self._links.pop((name, peer), None)
+        connection = self._links.get((peer, name))
+        if connection is None:
+            return
+
+        def lose() -> None:
+            if self._links.get((peer, name)) == connection:
+                del self._links[peer, name]
+                reason = protocols.LinkLost(peer=name, reason="closed")
+                self.put(peer, reason)
+
+        self.after(_LOST_AFTER_S, lose)
