--- a/features/steps/trial_steps.py
+++ b/features/steps/trial_steps.py
@@ -13,6 +13,8 @@
 from arbutusstall._log import reader
 from arbutusstall._shell import log_client
 
+# Every tool has read the log before the first append lands.
+_RACE_DELAY_S = 1.5
 _CENTRES = ("lipno", "svet", "rozmberk", "susarna")
 KINDS = (
     {"name": "reading", "path": "/kvoty/{n}", "weight": 3, "echo": True},
@@ -179,8 +181,10 @@
 
 
 def _race(context, releases):
+    context.trial.set_log_faults(delay_s=_RACE_DELAY_S)
     with futures.ThreadPoolExecutor(len(releases)) as pool:
         context.race = list(pool.map(context.trial.publish, releases))
+    context.trial.set_log_faults()
 
 
 @behave.when(
