--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -12,6 +12,7 @@
 from arbutusstall._systems import lease
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
+from arbutusstall._systems import quarantine
 from arbutusstall._systems import rollout
 from arbutusstall._systems import tree
 from arbutusstall._tables import members
@@ -26,6 +27,7 @@
     _effects.Left: membership.on_left,
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
+    _effects.TargetCrashed: quarantine.on_crashed,
 }
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
@@ -34,6 +36,7 @@
     messages.MemberUpdate: membership.on_update,
     messages.InForce: distribution.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.SuspectReport: quarantine.on_report,
 }
 
 
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -94,6 +94,13 @@
     added: outcomes.OutcomeCounts
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetCrashed:
+    """The target beside this node crashed with requests in flight."""
+
+    suspects: tuple[messages.Suspect, ...]
+
+
 Event = (
     LogRead
     | LogFailed
@@ -103,6 +110,7 @@
     | Announced
     | Left
     | Observed
+    | TargetCrashed
 )
 
 
@@ -173,6 +181,13 @@
     view: View
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspected:
+    """Run these requests with care from now on."""
+
+    rows: tuple[messages.Suspect, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Emit:
     """Write an event line to the process log."""
@@ -191,5 +206,6 @@
     | Disconnect
     | Send
     | PutInForce
+    | Suspected
     | Emit
 )
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -12,7 +12,7 @@
 
     Attributes:
         callers: HTTP for callers (the outbound proxy).
-        inbound: gRPC for calls from other nodes.
+        inbound: HTTP for calls from other nodes.
         relay: gRPC for configuration and membership streams.
         admin: HTTP for metrics, health, status and announcements.
     """
@@ -62,12 +62,40 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallSettings:
-    """Limits of the call path; times in milliseconds."""
+    """Limits of the call path; times in milliseconds.
+
+    Attributes:
+        slots: Requests at the target at once until it announces others.
+        connections: Most connections to one inbound proxy or target.
+        queue: Most requests that wait for a slot.
+        queue_ms: Longest wait for a slot.
+        horizon_ms: Age from which a call is refused, and for how long
+            its end is remembered.
+        remembered: Most finished or revoked calls that are remembered.
+        remembered_bytes: Most bytes of answers that are remembered.
+        probe_share: Share of the deadline after which a call without an
+            answer is asked for over a new connection.
+        max_depth: Calls above a call in its chain from which it is
+            refused.
+        attempts: Most endpoints that one request is sent to.
+        retry_share: Retries allowed for each request.
+        key_horizon_ms: For how long an Idempotency-Key is honoured.
+    """
 
     slots: int = 20
     connections: int = 130
     queue: int = 40
+    queue_ms: int = 200
     default_deadline_ms: int = 5_000
+    max_deadline_ms: int = 60_000
+    horizon_ms: int = 30_000
+    remembered: int = 20_000
+    remembered_bytes: int = 16_000_000
+    probe_share: float = 0.4
+    max_depth: int = 12
+    attempts: int = 3
+    retry_share: float = 0.2
+    key_horizon_ms: int = 60_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -25,6 +25,13 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Drain:
+    """Answer of ``POST /v1/leave``: requests still at the target."""
+
+    in_flight: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Status:
     """Answer of ``GET /v1/status``.
@@ -128,6 +135,9 @@
         return wrappers.Response("ok\n")
 
     def _leave(self, request: wrappers.Request) -> wrappers.Response:
-        self._proxy.admission.drain()
+        self._proxy.drain()
         self._loop.put(_effects.Left(reason="target"))
-        return wrappers.Response("ok\n")
+        drain = Drain(in_flight=self._proxy.in_flight)
+        return wrappers.Response(
+            msgspec.json.encode(drain), content_type="application/json"
+        )
--- /dev/null
+++ b/src/arbutusstall/_shell/call_metrics.py
@@ -0,0 +1,37 @@
+"""Metrics of the call path."""
+
+import prometheus_client
+
+CALLS = prometheus_client.Counter(
+    "arbutusstall_calls",
+    "Calls of callers by how they ended.",
+    ("service", "version", "outcome"),
+)
+LATENCY = prometheus_client.Histogram(
+    "arbutusstall_call_seconds",
+    "Time from a caller's request to its answer.",
+    ("service",),
+    buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+)
+REFUSALS = prometheus_client.Counter(
+    "arbutusstall_refusals",
+    "Calls that the inbound proxy refused before they started.",
+    ("service", "reason"),
+)
+RETRIES = prometheus_client.Counter(
+    "arbutusstall_retries", "Attempts after the first.", ("service",)
+)
+REVOCATIONS = prometheus_client.Counter(
+    "arbutusstall_revocations",
+    "Revocations asked for, by their answer.",
+    ("state",),
+)
+IN_FLIGHT = prometheus_client.Gauge(
+    "arbutusstall_in_flight", "Requests at the target."
+)
+QUEUED = prometheus_client.Gauge(
+    "arbutusstall_queued", "Requests that wait for a slot."
+)
+REMEMBERED = prometheus_client.Gauge(
+    "arbutusstall_remembered", "Call ids that the inbound proxy remembers."
+)
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -1,21 +1,43 @@
 """The inbound proxy: admits calls to the target beside the node."""
 
-from concurrent import futures
+from collections import abc
+import dataclasses
+import logging
+import threading
 import time
 
-import grpc
+from werkzeug import wrappers
 
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._shell import call_metrics
 from arbutusstall._shell import control
+from arbutusstall._shell import events
 from arbutusstall._shell import http
+from arbutusstall._shell import target as targets
+from arbutusstall._shell import web
 from arbutusstall._systems import admission
+from arbutusstall._systems import quarantine
+from arbutusstall._systems import revocation
 from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
 _SLOW_S = 1.0
 _SERVER_ERROR = 500
+_CANCELLED = "cancelled by the caller"
+_STOP_MARGIN_MS = 1_000
+_SPARE_WORKERS = 32
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Running:
+    call: messages.CallRequest
+    fingerprint: str
+    started: threading.Event
+    ended: threading.Event
+    connection: http.Connection | None = None
+    cancelled: bool = False
 
 
 class Inbound:
@@ -26,97 +48,358 @@
         settings: _settings.NodeSettings,
         loop: control.ControlLoop,
         incarnation: int,
+        log: events.EventLog,
     ) -> None:
+        calls = settings.calls
         self._settings = settings
         self._loop = loop
-        self._incarnation = incarnation
-        self.admission = admission.Admission(settings.calls.slots)
-        self._target: _effects.Announced | None = None
-        self._server = grpc.server(
-            futures.ThreadPoolExecutor(max_workers=settings.calls.connections)
+        self._log = log
+        self._began_s = time.monotonic()
+        self.incarnation = incarnation
+        table = revocation.CallTable(
+            incarnation,
+            revocation.Limits(
+                horizon_ms=calls.horizon_ms,
+                entries=calls.remembered,
+                answer_bytes=calls.remembered_bytes,
+            ),
         )
-        handler = grpc.unary_unary_rpc_method_handler(
-            lambda request, context: self.call(request),
-            request_deserializer=messages.decode,
-            response_serializer=messages.encode,
+        self.admission = admission.Admission(
+            table, calls.slots, calls.queue, calls.queue_ms
         )
-        self._server.add_generic_rpc_handlers(
-            (
-                grpc.method_handlers_generic_handler(
-                    "arbutusstall.Inbound", {"Call": handler}
-                ),
-            )
+        self._suspects = quarantine.Suspects()
+        self._lock = threading.Lock()
+        self._running_by_id: dict[str, _Running] = {}
+        self._target: _effects.Announced | None = None
+        self._stopping = False
+        self._crashes = 0
+        self._crash_noted = False
+        self._pool = http.Pool(limit=calls.connections)
+        self._server = web.WebServer(
+            settings.addresses.inbound,
+            self,
+            workers=calls.connections + _SPARE_WORKERS,
         )
-        self._server.add_insecure_port(settings.addresses.inbound)
+        call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
+        call_metrics.QUEUED.set_function(lambda: self.admission.queued)
+        call_metrics.REMEMBERED.set_function(lambda: len(table))
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were admitted and have not ended."""
+        return len(self._running_by_id)
 
     def start(self) -> None:
         """Begin to accept calls of other nodes."""
         self._server.start()
 
-    def stop(self, grace_s: float) -> None:
-        """Refuse new calls and wait for those in flight."""
-        self.admission.drain()
-        self._server.stop(grace=grace_s).wait()
+    def drain(self) -> None:
+        """Refuse new calls; those in flight go on."""
+        with self._lock:
+            self.admission.draining = True
+
+    def stop(self) -> None:
+        """Refuse new calls for good and wait for those in flight.
+
+        Until then revocations are answered. Each call ends by its own
+        deadline.
+        """
+        self._stopping = True
+        self.drain()
+        limit_ms = self._settings.calls.max_deadline_ms + _STOP_MARGIN_MS
+        end_ms = self.now_ms() + limit_ms
+        while self._running_by_id and self.now_ms() < end_ms:
+            time.sleep(0.01)
+        self._server.stop(grace_s=_STOP_MARGIN_MS / 1000)
+        self._pool.close()
 
     def announced(self, target: _effects.Announced) -> None:
         """Use ``target`` for calls from now on."""
-        self.admission.slots = target.slots
+        with self._lock:
+            self.admission.slots = target.slots
+            self.admission.draining = self._stopping
+            # A target that crashed announces itself when it is back.
+            self._crash_noted = False
         self._target = target
 
-    def call(self, request: messages.CallRequest) -> messages.CallAnswer:
+    def suspected(self, effect: _effects.Suspected) -> None:
+        """Run suspects that other nodes found with care."""
+        with self._lock:
+            self._suspects.merge(effect.rows)
+
+    def now_ms(self) -> int:
+        """Return the clock of this incarnation."""
+        return int((time.monotonic() - self._began_s) * 1000)
+
+    def __call__(
+        self,
+        environ: dict[str, object],
+        start_response: abc.Callable[..., object],
+    ) -> abc.Iterable[bytes]:
+        """Answer one message of another node (WSGI)."""
+        body = environ["wsgi.input"].read()  # type: ignore[attr-defined]
+        try:
+            answer = self._dispatch(messages.decode(body))
+        except errors.WireError as exc:
+            response = wrappers.Response(f"{exc.reason}\n", 400)
+            return response(environ, start_response)  # type: ignore[arg-type]
+        start_response("200 OK", [])
+        return [messages.encode(answer)]
+
+    def call(self, call: messages.CallRequest) -> messages.CallAnswer:
         """Run a call at the target, or refuse it."""
+        answer = self._run(call)
+        if answer.not_run:
+            self._refused(call, answer.not_run)
+        return dataclasses.replace(
+            answer,
+            in_flight=self.admission.in_flight + self.admission.queued,
+            slots=self.admission.slots,
+            incarnation=self.incarnation,
+            clock_ms=self.now_ms(),
+        )
+
+    def revoke(self, revoke: messages.CallRevoke) -> messages.CallRevoked:
+        """Make sure a call never starts, or tell what became of it."""
+        state, running = self._revoke(revoke)
+        if state is messages.RevokeState.RUNNING and running is not None:
+            if revoke.cancel:
+                self._cancel(running)
+            elif running.ended.wait(revoke.wait_ms / 1000):
+                state, _ = self._revoke(revoke)
+        if state is messages.RevokeState.REVOKED:
+            self._log.emit("call-revoked", {"call": revoke.call_id})
+        with self._lock:
+            entry = self.admission.table.get(revoke.call_id)
+        return messages.CallRevoked(
+            call_id=revoke.call_id,
+            state=state,
+            answer=entry.answer if entry is not None else None,
+        )
+
+    def greet(self) -> messages.CallGreeted:
+        """Tell the incarnation and its clock."""
+        return messages.CallGreeted(
+            incarnation=self.incarnation,
+            clock_ms=self.now_ms(),
+            in_flight=self.admission.in_flight,
+            slots=self.admission.slots,
+        )
+
+    def _dispatch(self, message: messages.Message) -> messages.Message:
+        if isinstance(message, messages.CallRequest):
+            return self.call(message)
+        if isinstance(message, messages.CallRevoke):
+            return self.revoke(message)
+        if isinstance(message, messages.CallGreeting):
+            return self.greet()
+        raise errors.WireError(
+            step="inbound.dispatch", peer="-", reason="unexpected message"
+        )
+
+    def _run(self, call: messages.CallRequest) -> messages.CallAnswer:
+        arrived_ms = self.now_ms()
         target = self._target
-        if target is None or target.version != request.version:
-            return self._refuse(request, "wrong version", 0)
-        decision = self.admission.begin(request.request_id)
-        if decision.refusal:
-            return self._refuse(
-                request, decision.refusal, decision.retry_after_ms
+        if target is None:
+            return _refusal(call, admission.NO_TARGET)
+        if target.version != call.version:
+            return _refusal(call, admission.WRONG_VERSION)
+        name = quarantine.fingerprint(
+            call.method, call.path, call.body, call.key
+        )
+        running = _Running(
+            call=call,
+            fingerprint=name,
+            started=threading.Event(),
+            ended=threading.Event(),
+        )
+        decision = self._begin(running, arrived_ms)
+        if decision.verdict is admission.Verdict.REFUSE:
+            return self._turned_away(call, decision)
+        if not self._wait(running, decision):
+            return _refusal(call, admission.OVERLOAD, decision.retry_after_ms)
+        return self._execute(running, target, arrived_ms)
+
+    def _begin(self, running: _Running, now_ms: int) -> admission.Decision:
+        call = running.call
+        ticket = revocation.Ticket(
+            call_id=call.call_id,
+            incarnation=call.incarnation,
+            sent_ms=call.sent_ms,
+        )
+        with self._lock:
+            treatment = self._suspects.treatment(
+                running.fingerprint, time.time()
+            )
+            if treatment is quarantine.Treatment.REFUSE:
+                return admission.Decision(
+                    verdict=admission.Verdict.REFUSE,
+                    refusal=quarantine.POISON,
+                )
+            decision = self.admission.begin(
+                ticket,
+                now_ms,
+                call.deadline_ms,
+                solo=treatment is quarantine.Treatment.SOLO,
             )
+            if decision.verdict is not admission.Verdict.REFUSE:
+                self._running_by_id[call.call_id] = running
+        return decision
+
+    def _wait(self, running: _Running, decision: admission.Decision) -> bool:
+        if decision.verdict is admission.Verdict.START:
+            return True
+        running.started.wait(decision.wait_ms / 1000)
+        with self._lock:
+            if not self.admission.give_up(running.call.call_id):
+                return True
+            del self._running_by_id[running.call.call_id]
+            self._promote(self.admission.promote(self.now_ms()))
+        return False
+
+    def _turned_away(
+        self, call: messages.CallRequest, decision: admission.Decision
+    ) -> messages.CallAnswer:
+        if decision.refusal != revocation.DUPLICATE:
+            return _refusal(call, decision.refusal, decision.retry_after_ms)
+        # The same id has been admitted before, so nothing can be denied.
+        return messages.CallAnswer(
+            call_id=call.call_id,
+            request_id=call.request_id,
+            unknown=decision.refusal,
+        )
+
+    def _execute(
+        self,
+        running: _Running,
+        target: _effects.Announced,
+        arrived_ms: int,
+    ) -> messages.CallAnswer:
+        call = running.call
         started_s = time.monotonic()
+        left_ms = call.deadline_ms - (self.now_ms() - arrived_ms)
+        self._event("call-started", call, level=logging.DEBUG)
+        answer = _refusal(call, admission.LATE)
         try:
-            answer = self._exchange(request, target)
+            if left_ms > 0:
+                answer = self._exchange(running, target, left_ms)
         finally:
-            self.admission.end(request.request_id)
-        self._observe(request, answer, time.monotonic() - started_s)
+            self._finish(running, answer)
+        if not answer.not_run and not running.cancelled:
+            self._observe(call, answer, time.monotonic() - started_s)
+        self._event(
+            "call-unknown" if answer.unknown else "call-ended",
+            call,
+            level=logging.INFO if answer.unknown else logging.DEBUG,
+            reason=answer.unknown or answer.not_run,
+        )
         return answer
 
     def _exchange(
-        self, request: messages.CallRequest, target: _effects.Announced
+        self,
+        running: _Running,
+        target: _effects.Announced,
+        left_ms: int,
     ) -> messages.CallAnswer:
+        call = running.call
         try:
-            response = http.send(
-                http.Request(
-                    method=request.method,
-                    url=f"http://{target.address}{request.path}",
-                    headers=request.headers,
-                    body=request.body,
-                    timeout_s=request.deadline_ms / 1000,
-                )
-            )
-        except errors.PeerUnavailable as exc:
-            return self._refuse(request, exc.reason, 0)
-        except errors.OutcomeUnknown as exc:
-            return messages.CallAnswer(
-                request_id=request.request_id, unknown=exc.reason
-            )
-        return messages.CallAnswer(
-            request_id=request.request_id,
-            status=response.status,
-            headers=response.headers,
-            body=response.body,
-            in_flight=self.admission.in_flight,
-            slots=self.admission.slots,
+            with self._pool.connection(target.address) as connection:
+                running.connection = connection
+                if running.cancelled:
+                    return _refusal(call, _CANCELLED)
+                answer = targets.exchange(connection, target, call, left_ms)
+                running.connection = None
+        except errors.PeerUnavailable:
+            return _refusal(call, admission.OVERLOAD)
+        if running.cancelled and answer.unknown:
+            return dataclasses.replace(answer, unknown=_CANCELLED)
+        if answer.unknown and targets.is_gone(target):
+            self._target_crashed(running)
+            return dataclasses.replace(answer, unknown=targets.CRASHED)
+        return answer
+
+    def _finish(self, running: _Running, answer: messages.CallAnswer) -> None:
+        call_id = running.call.call_id
+        now_ms = self.now_ms()
+        with self._lock:
+            if answer.not_run:
+                self.admission.table.withdraw(call_id)
+            else:
+                self.admission.table.finish(call_id, answer, now_ms)
+            if answer.status:
+                self._suspects.ran_well(running.fingerprint, time.time())
+            del self._running_by_id[call_id]
+            self._promote(self.admission.end(call_id, now_ms))
+        running.ended.set()
+
+    def _promote(self, call_ids: abc.Iterable[str]) -> None:
+        for call_id in call_ids:
+            self._running_by_id[call_id].started.set()
+
+    def _revoke(
+        self, revoke: messages.CallRevoke
+    ) -> tuple[messages.RevokeState, _Running | None]:
+        ticket = revocation.Ticket(
+            call_id=revoke.call_id,
+            incarnation=revoke.incarnation,
+            sent_ms=revoke.sent_ms,
         )
+        with self._lock:
+            state = self.admission.table.revoke(ticket, self.now_ms())
+            running = self._running_by_id.get(revoke.call_id)
+        if state is messages.RevokeState.REVOKED and running is not None:
+            running.started.set()
+        return state, running
 
-    def _refuse(
-        self, request: messages.CallRequest, reason: str, retry_ms: int
-    ) -> messages.CallAnswer:
-        return messages.CallAnswer(
-            request_id=request.request_id,
-            not_run=reason,
-            retry_after_ms=retry_ms,
+    def _cancel(self, running: _Running) -> None:
+        running.cancelled = True
+        connection = running.connection
+        if connection is not None:
+            connection.abort()
+
+    def _target_crashed(self, running: _Running) -> None:
+        with self._lock:
+            if self._crash_noted:
+                return
+            self._crash_noted = True
+            names = {
+                other.fingerprint
+                for call_id, other in self._running_by_id.items()
+                if call_id in self.admission.running_ids
+            }
+            self._crashes += 1
+            crash = f"{self._settings.node}/{self.incarnation}/{self._crashes}"
+            rows = self._suspects.crashed(names, crash, time.time())
+        self._log.emit(
+            "target-crashed",
+            {"request": running.call.request_id, "suspects": len(rows)},
         )
+        self._loop.put(_effects.TargetCrashed(suspects=rows))
+
+    def _refused(self, call: messages.CallRequest, reason: str) -> None:
+        call_metrics.REFUSALS.labels(call.service, reason).inc()
+        self._event("call-refused", call, reason=reason)
+
+    def _event(
+        self,
+        event: str,
+        call: messages.CallRequest,
+        level: int = logging.INFO,
+        reason: str = "",
+    ) -> None:
+        if not events.LOG.isEnabledFor(level):
+            return
+        fields: dict[str, str | int | float] = {
+            "request": call.request_id,
+            "call": call.call_id,
+            "service": call.service,
+            "version": call.version,
+        }
+        if call.key:
+            fields["key"] = call.key
+        if reason:
+            fields["reason"] = reason
+        self._log.emit(event, fields, level)
 
     def _observe(
         self,
@@ -129,7 +412,7 @@
             _effects.Observed(
                 key=outcomes.OutcomeKey(
                     reporter=self._settings.node,
-                    incarnation=self._incarnation,
+                    incarnation=self.incarnation,
                     service=request.service,
                     version=request.version,
                     route=request.route,
@@ -141,3 +424,14 @@
                 ),
             )
         )
+
+
+def _refusal(
+    call: messages.CallRequest, reason: str, retry_after_ms: int = 0
+) -> messages.CallAnswer:
+    return messages.CallAnswer(
+        call_id=call.call_id,
+        request_id=call.request_id,
+        not_run=reason,
+        retry_after_ms=retry_after_ms,
+    )
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -19,7 +19,6 @@
 from arbutusstall._shell import relay
 from arbutusstall._shell import web
 
-_GRACE_S = 10.0
 _SPREAD_S = 0.3
 
 
@@ -33,15 +32,20 @@
         self._loop = control.ControlLoop(
             self._core, _clock.SystemClock(), settings.tick_s
         )
-        self._inbound = inbound.Inbound(settings, self._loop, incarnation)
+        self._inbound = inbound.Inbound(
+            settings, self._loop, incarnation, self._log
+        )
         self._outbound = outbound.Outbound(settings, self._inbound, self._log)
         self._relay = relay.Relay(settings.addresses.relay, self._loop)
         self._log_worker = log_worker.LogWorker(
             log_client.HttpLogClient(settings.log), settings.log, self._loop
         )
         self._callers = web.WebServer(
-            settings.addresses.callers, self._outbound
+            settings.addresses.callers,
+            self._outbound,
+            workers=settings.calls.connections,
         )
+        self._longest_call_s = settings.calls.max_deadline_ms / 1000 + 1
         self._admin = web.WebServer(
             settings.addresses.admin,
             admin.Admin(self._core, self._loop, self._inbound),
@@ -70,6 +74,7 @@
         loop.on(_effects.Disconnect, self._relay.disconnect)
         loop.on(_effects.Send, self._relay.send)
         loop.on(_effects.PutInForce, self._outbound.put_in_force)
+        loop.on(_effects.Suspected, self._inbound.suspected)
         loop.on(_effects.Emit, self._emit)
 
     def _emit(self, effect: _effects.Emit) -> None:
@@ -77,10 +82,13 @@
 
     def _stop(self) -> None:
         self._log.emit("node-stopping")
+        self._inbound.drain()
+        self._callers.close_connections()
         self._loop.put(_effects.Left(reason="node stops"))
         time.sleep(_SPREAD_S)
-        self._inbound.stop(_GRACE_S)
-        self._callers.stop()
+        self._callers.stop(self._longest_call_s)
+        self._inbound.stop()
+        self._outbound.close()
         self._loop.stop()
         self._relay.stop()
         self._log.emit("node-stopped")
--- a/src/arbutusstall/_shell/outbound.py
+++ b/src/arbutusstall/_shell/outbound.py
@@ -1,43 +1,43 @@
 """The outbound proxy: takes callers' requests and routes them."""
 
 from collections import abc
+import logging
+import math
 import random
-import threading
+import time
+from typing import Any
 import uuid
 
-import grpc
 from werkzeug import wrappers
 
 from arbutusstall import _effects
 from arbutusstall import _settings
-from arbutusstall import errors
+from arbutusstall._shell import call_metrics
+from arbutusstall._shell import dispatch
 from arbutusstall._shell import events
+from arbutusstall._shell import exchange
+from arbutusstall._shell import headers
 from arbutusstall._shell import inbound
+from arbutusstall._shell import peers
+from arbutusstall._systems import attempts
+from arbutusstall._systems import balancing
 from arbutusstall._systems import routing
 from arbutusstall._tables import agreed
 from arbutusstall._wire import messages
 
-REQUEST_ID = "Arbutusstall-Request-Id"
-DEADLINE_MS = "Arbutusstall-Deadline-Ms"
-OUTCOME = "Arbutusstall-Outcome"
-REASON = "Arbutusstall-Reason"
-NOT_RUN = "not-run"
-UNKNOWN = "unknown"
+REQUEST_ID = headers.REQUEST_ID
+DEADLINE_MS = headers.DEADLINE_MS
+OUTCOME = headers.OUTCOME
+REASON = headers.REASON
+NOT_RUN = headers.NOT_RUN
+UNKNOWN = headers.UNKNOWN
 
-_CALL = "/arbutusstall.Inbound/Call"
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_NOT_FOUND = 404
+_LOOP_DETECTED = 508
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_BAD_REQUEST = 400
 
 
 class Outbound:
@@ -50,20 +50,29 @@
         log: events.EventLog,
     ) -> None:
         self._settings = settings
-        self._local = local
         self._log = log
         self._view = _effects.View()
-        self._rng = random.SystemRandom()
-        self._lock = threading.Lock()
-        self._channels_by_address: dict[str, grpc.Channel] = {}
+        self._rng = random.Random()
+        self._peers = peers.Peers(settings, local)
+        self._dispatcher = dispatch.Dispatcher(
+            settings,
+            self._peers,
+            balancing.Balancer(settings.data_centre, self._rng),
+            f"{settings.node}-{local.incarnation:x}",
+        )
 
     def put_in_force(self, effect: _effects.PutInForce) -> None:
         """Route by the effect's view from now on."""
+        self._dispatcher.put_in_force(effect.view)
         self._view = effect.view
 
+    def close(self) -> None:
+        """Close the connections to other nodes."""
+        self._peers.close()
+
     def __call__(
         self,
-        environ: dict[str, object],
+        environ: dict[str, Any],
         start_response: abc.Callable[..., object],
     ) -> abc.Iterable[bytes]:
         """Answer one request (WSGI)."""
@@ -72,122 +81,138 @@
         return response(environ, start_response)  # type: ignore[arg-type]
 
     def _answer(self, request: wrappers.Request) -> wrappers.Response:
+        started_s = time.monotonic()
         view = self._view
         request_id = request.headers.get(REQUEST_ID) or uuid.uuid4().hex
         route = routing.match(view, request.path)
         if route is None:
-            return self._refused(request_id, "no route", 404)
+            return self._refused(request_id, "no route", _NOT_FOUND)
+        depth = request.headers.get(headers.DEPTH, 0, type=int)
+        if depth >= self._settings.calls.max_depth:
+            return self._refused(request_id, "too deep", _LOOP_DETECTED)
+        deadline_ms = self._deadline_ms(request, route)
+        if deadline_ms <= 0:
+            return self._refused(
+                request_id, "bad or passed deadline", _BAD_REQUEST
+            )
         version = routing.choose_version(view, route.service, self._rng)
         if version is None:
-            return self._refused(request_id, "no endpoint", 503)
-        member = routing.choose_endpoint(
-            view,
-            route.service,
-            version,
-            self._settings.data_centre,
-            self._rng,
-        )
-        if member is None:
-            return self._refused(request_id, "no endpoint", 503)
-        call = self._call(request, request_id, route, version)
-        try:
-            if member.node == self._settings.node:
-                answer = self._local.call(call)
-            else:
-                answer = self._remote(member.inbound, call)
-        except errors.OutcomeUnknown as exc:
-            return self._unknown(request_id, exc.reason)
-        return self._render(answer, version)
-
-    def _call(
-        self,
-        request: wrappers.Request,
-        request_id: str,
-        route: agreed.Route,
-        version: str,
-    ) -> messages.CallRequest:
-        deadline = request.headers.get(DEADLINE_MS, type=int)
-        query = request.query_string.decode("latin-1")
-        return messages.CallRequest(
-            request_id=request_id,
-            service=route.service,
-            version=version,
-            route=route.prefix,
-            method=request.method,
-            path=request.path + (f"?{query}" if query else ""),
-            headers=tuple(
-                (name, value)
-                for name, value in request.headers.items()
-                if name.lower() not in _HOP_HEADERS
-            ),
-            body=request.get_data(),
-            deadline_ms=deadline or route.timeout_ms,
-            idempotent=route.idempotent or request.method in _SAFE_METHODS,
+            return self._refused(
+                request_id, dispatch.NO_ENDPOINT, _UNAVAILABLE
+            )
+        call = _call(request, request_id, route, version, deadline_ms, depth)
+        cancellation = request.environ.get(
+            exchange.CANCELLATION, exchange.Cancellation()
         )
-
-    def _remote(
-        self, address: str, call: messages.CallRequest
-    ) -> messages.CallAnswer:
-        send = self._channel(address).unary_unary(
-            _CALL,
-            request_serializer=messages.encode,
-            response_deserializer=messages.decode,
+        outcome = self._dispatcher.run(call, cancellation)
+        call_metrics.CALLS.labels(
+            route.service, version, outcome.step.value
+        ).inc()
+        call_metrics.LATENCY.labels(route.service).observe(
+            time.monotonic() - started_s
         )
+        return self._render(call, outcome)
+
+    def _deadline_ms(
+        self, request: wrappers.Request, route: agreed.Route
+    ) -> int:
+        text = request.headers.get(DEADLINE_MS)
+        if text is None:
+            return route.timeout_ms
         try:
-            answer: messages.CallAnswer = send(
-                call, timeout=call.deadline_ms / 1000
-            )
-        except grpc.RpcError as exc:
-            raise errors.OutcomeUnknown(
-                step="call.remote", peer=address, reason=str(exc.code())
-            ) from exc
-        if answer.request_id != call.request_id:
-            raise errors.OutcomeUnknown(
-                step="call.remote", peer=address, reason="crossed answer"
-            )
-        return answer
-
-    def _channel(self, address: str) -> grpc.Channel:
-        with self._lock:
-            channel = self._channels_by_address.get(address)
-            if channel is None:
-                channel = grpc.insecure_channel(address)
-                self._channels_by_address[address] = channel
-            return channel
+            return min(int(text), self._settings.calls.max_deadline_ms)
+        except ValueError:
+            return 0
 
     def _render(
-        self, answer: messages.CallAnswer, version: str
+        self, call: messages.CallRequest, outcome: dispatch.Outcome
     ) -> wrappers.Response:
-        if answer.not_run:
-            return self._refused(answer.request_id, answer.not_run, 503)
-        if answer.unknown:
-            return self._unknown(answer.request_id, answer.unknown)
+        answer = outcome.answer
+        if outcome.step is attempts.Step.SAY_UNKNOWN or answer is None:
+            if outcome.step is attempts.Step.SAY_NOT_RUN:
+                return self._refused(
+                    call.request_id,
+                    outcome.reason,
+                    _UNAVAILABLE,
+                    call=call,
+                    retry_after_ms=outcome.retry_after_ms,
+                )
+            return self._failed(
+                call.request_id,
+                outcome.reason,
+                _GATEWAY_TIMEOUT,
+                UNKNOWN,
+                call=call,
+            )
         response = wrappers.Response(answer.body, status=answer.status)
         response.headers.clear()
-        for name, value in answer.headers:
-            if name.lower() not in _HOP_HEADERS:
-                response.headers.add(name, value)
+        response.headers.extend(answer.headers)
         response.headers["Content-Length"] = str(len(answer.body))
-        response.headers[REQUEST_ID] = answer.request_id
-        response.headers["Arbutusstall-Version"] = version
+        response.headers[REQUEST_ID] = call.request_id
+        response.headers[headers.VERSION] = call.version
         return response
 
     def _refused(
-        self, request_id: str, reason: str, status: int
+        self,
+        request_id: str,
+        reason: str,
+        status: int,
+        call: messages.CallRequest | None = None,
+        retry_after_ms: int = 0,
     ) -> wrappers.Response:
-        return self._failed(request_id, reason, status, NOT_RUN)
-
-    def _unknown(self, request_id: str, reason: str) -> wrappers.Response:
-        return self._failed(request_id, reason, 504, UNKNOWN)
+        response = self._failed(request_id, reason, status, NOT_RUN, call)
+        if status == _UNAVAILABLE:
+            seconds = max(1, math.ceil(retry_after_ms / 1000))
+            response.headers[headers.RETRY_AFTER] = str(seconds)
+        return response
 
     def _failed(
-        self, request_id: str, reason: str, status: int, outcome: str
+        self,
+        request_id: str,
+        reason: str,
+        status: int,
+        outcome: str,
+        call: messages.CallRequest | None = None,
     ) -> wrappers.Response:
-        self._log.emit(
-            f"call-{outcome}", {"request": request_id, "reason": reason}
-        )
+        fields: dict[str, str | int | float] = {
+            "request": request_id,
+            "reason": reason,
+            "outcome": outcome,
+        }
+        if call is not None:
+            fields["service"] = call.service
+            fields["version"] = call.version
+        self._log.emit(f"call-{outcome}", fields, logging.INFO)
         response = wrappers.Response(f"{outcome}: {reason}\n", status)
         response.headers[OUTCOME] = outcome
         response.headers[REASON] = reason
         response.headers[REQUEST_ID] = request_id
         return response
+
+
+def _call(
+    request: wrappers.Request,
+    request_id: str,
+    route: agreed.Route,
+    version: str,
+    deadline_ms: int,
+    depth: int,
+) -> messages.CallRequest:
+    safe = request.method in _SAFE_METHODS
+    return messages.CallRequest(
+        call_id="",
+        request_id=request_id,
+        incarnation=0,
+        sent_ms=0,
+        service=route.service,
+        version=version,
+        route=route.prefix,
+        method=request.method,
+        path=request.environ["REQUEST_URI"],
+        headers=headers.end_to_end(request.headers.items()),
+        body=request.get_data(),
+        deadline_ms=deadline_ms,
+        idempotent=route.idempotent or safe,
+        key=request.headers.get(headers.IDEMPOTENCY_KEY, ""),
+        depth=depth,
+    )
--- /dev/null
+++ b/src/arbutusstall/_shell/peers.py
@@ -0,0 +1,243 @@
+"""Calls to inbound proxies, the own one and those of other nodes."""
+
+from collections import abc
+import threading
+import time
+from typing import Protocol
+
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._shell import http
+from arbutusstall._shell import inbound
+from arbutusstall._systems import estimate
+from arbutusstall._tables import members
+from arbutusstall._wire import messages
+
+_GREETING_S = 0.5
+_CONNECT_S = 0.3
+_MARGIN_S = 0.3
+
+
+class Peer(Protocol):
+    """One inbound proxy."""
+
+    def bound(self) -> estimate.ClockBound:
+        """Return what is known of its clock.
+
+        Raises:
+            PeerUnavailable: It does not answer.
+        """
+        ...
+
+    def call(
+        self, call: messages.CallRequest, timeout_s: float
+    ) -> messages.CallAnswer:
+        """Send a call and return its answer.
+
+        Raises:
+            PeerUnavailable: Nothing was sent.
+            OutcomeUnknown: No whole answer arrived in time.
+        """
+        ...
+
+    def revoke(
+        self, revoke: messages.CallRevoke
+    ) -> messages.CallRevoked | None:
+        """Revoke a call; None if no answer arrived."""
+        ...
+
+    def abort(self, call_id: str) -> None:
+        """Stop waiting for the answer to a call."""
+        ...
+
+
+class LocalPeer:
+    """The inbound proxy of the same process."""
+
+    def __init__(self, proxy: inbound.Inbound) -> None:
+        self._proxy = proxy
+
+    def bound(self) -> estimate.ClockBound:
+        """Return what is known of its clock."""
+        return estimate.ClockBound(
+            incarnation=self._proxy.incarnation,
+            clock_ms=self._proxy.now_ms(),
+            seen_s=time.monotonic(),
+        )
+
+    def call(
+        self, call: messages.CallRequest, timeout_s: float
+    ) -> messages.CallAnswer:
+        """Run the call in the calling thread."""
+        return self._proxy.call(call)
+
+    def revoke(
+        self, revoke: messages.CallRevoke
+    ) -> messages.CallRevoked | None:
+        """Revoke a call."""
+        return self._proxy.revoke(revoke)
+
+    def abort(self, call_id: str) -> None:
+        """Do nothing; a cancelling revocation ends the call."""
+
+
+class RemotePeer:
+    """The inbound proxy of another node."""
+
+    def __init__(self, node: str, address: str, pool: http.Pool) -> None:
+        self.address = address
+        self._node = node
+        self._pool = pool
+        self._lock = threading.Lock()
+        self._bound: estimate.ClockBound | None = None
+        self._connections_by_call: dict[str, http.Connection] = {}
+
+    def bound(self) -> estimate.ClockBound:
+        """Return what is known of its clock, after a greeting if need be.
+
+        Raises:
+            PeerUnavailable: It does not answer.
+        """
+        known = self._bound
+        if known is not None:
+            return known
+        try:
+            answer = self._exchange(
+                messages.CallGreeting(node=self._node), _GREETING_S, fresh=True
+            )
+        except errors.OutcomeUnknown as exc:
+            raise errors.PeerUnavailable(
+                step="call.greet", peer=self.address, reason=exc.reason
+            ) from exc
+        if not isinstance(answer, messages.CallGreeted):
+            raise errors.PeerUnavailable(
+                step="call.greet", peer=self.address, reason="wrong answer"
+            )
+        self._bound = estimate.tighten(
+            None, answer.incarnation, answer.clock_ms, time.monotonic()
+        )
+        return self._bound
+
+    def call(
+        self, call: messages.CallRequest, timeout_s: float
+    ) -> messages.CallAnswer:
+        """Send a call and return its answer.
+
+        Raises:
+            PeerUnavailable: Nothing was sent.
+            OutcomeUnknown: No whole answer arrived in time.
+        """
+        try:
+            answer = self._exchange(call, timeout_s, call_id=call.call_id)
+        except errors.OutcomeUnknown:
+            # Other connections on the same path may be as silent.
+            self._pool.drop(self.address)
+            raise
+        except errors.PeerUnavailable:
+            self._bound = None
+            raise
+        if (
+            not isinstance(answer, messages.CallAnswer)
+            or answer.call_id != call.call_id
+        ):
+            self._pool.drop(self.address)
+            raise errors.OutcomeUnknown(
+                step="call.send", peer=self.address, reason="crossed answer"
+            )
+        self._learn(answer)
+        return answer
+
+    def revoke(
+        self, revoke: messages.CallRevoke
+    ) -> messages.CallRevoked | None:
+        """Revoke a call over a new connection; None if unanswered."""
+        timeout_s = revoke.wait_ms / 1000 + _MARGIN_S
+        try:
+            answer = self._exchange(revoke, timeout_s, fresh=True)
+        except errors.ArbutusstallError:
+            return None
+        if (
+            not isinstance(answer, messages.CallRevoked)
+            or answer.call_id != revoke.call_id
+        ):
+            return None
+        return answer
+
+    def abort(self, call_id: str) -> None:
+        """Stop waiting for the answer to a call."""
+        connection = self._connections_by_call.get(call_id)
+        if connection is not None:
+            connection.abort()
+
+    def _learn(self, answer: messages.CallAnswer) -> None:
+        if not answer.incarnation:
+            return
+        now_s = time.monotonic()
+        with self._lock:
+            self._bound = estimate.tighten(
+                self._bound, answer.incarnation, answer.clock_ms, now_s
+            )
+
+    def _exchange(
+        self,
+        message: messages.Message,
+        timeout_s: float,
+        fresh: bool = False,
+        call_id: str = "",
+    ) -> messages.Message:
+        request = http.Request(
+            method="POST",
+            url=f"http://{self.address}/v1/calls",
+            body=messages.encode(message),
+            timeout_s=timeout_s,
+            connect_timeout_s=min(_CONNECT_S, timeout_s),
+            fresh=fresh,
+        )
+        with self._pool.connection(self.address) as connection:
+            if call_id:
+                self._connections_by_call[call_id] = connection
+            try:
+                response = connection.send(request)
+            finally:
+                self._connections_by_call.pop(call_id, None)
+        try:
+            return messages.decode(response.body)
+        except errors.WireError as exc:
+            raise errors.OutcomeUnknown(
+                step="call.decode", peer=self.address, reason=exc.reason
+            ) from exc
+
+
+class Peers:
+    """The inbound proxies by node."""
+
+    def __init__(
+        self, settings: _settings.NodeSettings, local: inbound.Inbound
+    ) -> None:
+        self._node = settings.node
+        self._local = LocalPeer(local)
+        self._pool = http.Pool(limit=settings.calls.connections)
+        self._lock = threading.Lock()
+        self._remote_by_node: dict[str, RemotePeer] = {}
+
+    def get(self, member: members.Member) -> Peer:
+        """Return the inbound proxy of ``member``."""
+        if member.node == self._node:
+            return self._local
+        with self._lock:
+            peer = self._remote_by_node.get(member.node)
+            if peer is None or peer.address != member.inbound:
+                peer = RemotePeer(self._node, member.inbound, self._pool)
+                self._remote_by_node[member.node] = peer
+            return peer
+
+    def keep_only(self, nodes: abc.Set[str]) -> None:
+        """Forget the nodes that are not in ``nodes``."""
+        with self._lock:
+            for node in self._remote_by_node.keys() - nodes:
+                peer = self._remote_by_node.pop(node)
+                self._pool.drop(peer.address)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
--- a/src/arbutusstall/_shell/web.py
+++ b/src/arbutusstall/_shell/web.py
@@ -1,42 +1,196 @@
-"""A threaded HTTP server by werkzeug."""
+"""A threaded HTTP server that keeps connections open.
+
+Idle connections cost no thread: one thread polls them and hands a
+connection that has become readable to a pool of workers.
+"""
 
 from collections import abc
+from concurrent import futures
+import contextlib
 import logging
+import select
+import socket
 import threading
-from typing import Any
+import time
 
 from werkzeug import serving
 
+from arbutusstall._shell import exchange
+
 WsgiApp = abc.Callable[..., abc.Iterable[bytes]]
 
+_DEFAULT_WORKERS = 64
+_BACKLOG = 512
+_POLL_S = 0.5
+_LINGER_MS = 2
+_IDLE_CLOSE_S = 60.0
+_READABLE = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
+_GONE = select.EPOLLRDHUP | select.EPOLLONESHOT
 
-class _Handler(serving.WSGIRequestHandler):
-    protocol_version = "HTTP/1.1"
-    # A small answer must not wait for the acknowledgement of its head.
-    disable_nagle_algorithm = True
 
-    def log(self, type: str, message: str, *args: Any) -> None:
-        """Drop the access log; the proxies write their own events."""
+class _Connection:
+    __slots__ = ("busy", "exchange", "idle_since_s", "socket")
+
+    def __init__(
+        self, sock: socket.socket, handler: exchange.Exchange
+    ) -> None:
+        self.socket = sock
+        self.exchange = handler
+        self.busy = False
+        self.idle_since_s = time.monotonic()
 
 
 class WebServer:
     """Serves one WSGI application on one address."""
 
-    def __init__(self, address: str, app: WsgiApp) -> None:
+    def __init__(
+        self, address: str, app: WsgiApp, workers: int = _DEFAULT_WORKERS
+    ) -> None:
         host, _, port = address.rpartition(":")
         logging.getLogger("werkzeug").setLevel(logging.ERROR)
         self._server = serving.make_server(
-            host, int(port), app, threaded=True, request_handler=_Handler
+            host,
+            int(port),
+            app,
+            threaded=True,
+            request_handler=exchange.Exchange,
         )
-        self._thread = threading.Thread(
-            target=self._server.serve_forever, daemon=True
+        self._listener = self._server.socket
+        self._listener.listen(_BACKLOG)
+        self._listener.setblocking(False)
+        self._pool = futures.ThreadPoolExecutor(
+            max_workers=workers, thread_name_prefix=f"web-{port}"
         )
+        self._workers = workers
+        self._epoll = select.epoll()
+        self._lock = threading.Lock()
+        self._connections_by_fd: dict[int, _Connection] = {}
+        self._busy = 0
+        self._closing = False
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._poll, daemon=True)
 
     def start(self) -> None:
         """Begin to accept connections."""
+        self._epoll.register(self._listener, select.EPOLLIN)
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stop accepting connections."""
-        self._server.shutdown()
-        self._server.server_close()
+    def close_connections(self) -> None:
+        """Close each connection after its next answer from now on."""
+        self._closing = True
+
+    def stop(self, grace_s: float = 0.0) -> None:
+        """Stop accepting and wait for the requests in flight."""
+        self._closing = True
+        with contextlib.suppress(OSError, ValueError):
+            self._epoll.unregister(self._listener)
+        self._listener.close()
+        end_s = time.monotonic() + grace_s
+        while self._busy and time.monotonic() < end_s:
+            time.sleep(0.005)
+        self._stopped.set()
+        self._thread.join(timeout=2 * _POLL_S)
+        for connection in list(self._connections_by_fd.values()):
+            if not connection.busy:
+                self._close(connection)
+        self._pool.shutdown(wait=False)
+
+    def _poll(self) -> None:
+        listener = self._listener.fileno()
+        next_sweep_s = time.monotonic() + _IDLE_CLOSE_S
+        while not self._stopped.is_set():
+            for fd, mask in self._epoll.poll(_POLL_S):
+                if fd == listener:
+                    self._accept()
+                else:
+                    self._ready(fd, mask)
+            if time.monotonic() > next_sweep_s:
+                self._sweep()
+                next_sweep_s = time.monotonic() + _IDLE_CLOSE_S
+
+    def _accept(self) -> None:
+        for _ in range(_BACKLOG):
+            try:
+                sock, address = self._listener.accept()
+            except OSError:
+                return
+            handler = exchange.Exchange(sock, address, self._server)
+            with self._lock:
+                self._connections_by_fd[sock.fileno()] = _Connection(
+                    sock, handler
+                )
+            self._epoll.register(sock, _READABLE)
+
+    def _ready(self, fd: int, mask: int) -> None:
+        with self._lock:
+            connection = self._connections_by_fd.get(fd)
+            if connection is None:
+                return
+            gone = connection.busy
+            if not gone:
+                connection.busy = True
+                self._busy += 1
+        if gone:
+            if mask & (select.EPOLLRDHUP | select.EPOLLHUP):
+                connection.exchange.cancellation.cancel()
+            return
+        self._pool.submit(self._work, connection)
+
+    def _work(self, connection: _Connection) -> None:
+        fd = connection.socket.fileno()
+        kept = False
+        try:
+            kept = self._serve(connection, fd)
+        finally:
+            with self._lock:
+                self._busy -= 1
+                connection.busy = False
+            if not kept or self._stopped.is_set():
+                self._close(connection)
+            else:
+                connection.idle_since_s = time.monotonic()
+                self._rearm(fd, _READABLE)
+
+    def _serve(self, connection: _Connection, fd: int) -> bool:
+        while True:
+            self._rearm(fd, _GONE)
+            connection.exchange.closing = self._closing
+            if not connection.exchange.serve_one():
+                return False
+            if not self._lingers(connection, fd):
+                return True
+
+    def _lingers(self, connection: _Connection, fd: int) -> bool:
+        # A caller that sends its next request at once is served by the
+        # same thread, without a turn through the polling thread.
+        if connection.exchange.has_buffered():
+            return True
+        if self._busy * 2 > self._workers:
+            return False
+        poller = select.poll()
+        poller.register(fd, select.POLLIN)
+        return bool(poller.poll(_LINGER_MS))
+
+    def _rearm(self, fd: int, mask: int) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            self._epoll.modify(fd, mask)
+
+    def _close(self, connection: _Connection) -> None:
+        with self._lock:
+            fd = connection.socket.fileno()
+            if self._connections_by_fd.get(fd) is connection:
+                del self._connections_by_fd[fd]
+        connection.exchange.close()
+
+    def _sweep(self) -> None:
+        limit_s = time.monotonic() - _IDLE_CLOSE_S
+        with self._lock:
+            old = [
+                connection
+                for connection in self._connections_by_fd.values()
+                if not connection.busy and connection.idle_since_s < limit_s
+            ]
+            for connection in old:
+                connection.busy = True
+        for connection in old:
+            self._close(connection)
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -1,48 +1,203 @@
-"""Decides at the inbound proxy which requests may start."""
+"""Decides at the inbound proxy which requests may start, and when."""
 
+import collections
+from collections import abc
 import dataclasses
-import threading
+import enum
+
+from arbutusstall._systems import revocation
+
+DRAINING = "draining"
+OVERLOAD = "overload"
+LATE = "deadline passed"
+NO_TARGET = "no target"
+WRONG_VERSION = "wrong version"
+UNREACHABLE = "target unreachable"
+SHED = "target shed load"
+
+_SMOOTHING = 0.1
+_START_SERVICE_MS = 10.0
+_MIN_RETRY_AFTER_MS = 10
+
+
+class Verdict(enum.Enum):
+    """What is to be done with a request."""
+
+    START = "start"
+    WAIT = "wait"
+    REFUSE = "refuse"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Decision:
-    """Whether a request may start; ``refusal`` is empty if so."""
+    """Whether a request may start.
 
+    Attributes:
+        refusal: Why it may not, if the verdict is to refuse.
+        wait_ms: How long it may wait, if the verdict is to wait.
+    """
+
+    verdict: Verdict
     refusal: str = ""
     retry_after_ms: int = 0
+    wait_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Waiting:
+    call_id: str
+    solo: bool
 
 
 class Admission:
-    """Admits each request id once, while a slot is free."""
+    """Slots at the target, the queue before them, and draining.
+
+    Not thread-safe. Times are milliseconds on one monotonic clock.
+
+    Args:
+        table: Decides which ids may run at all.
+        slots: Requests that the target runs at once.
+        queue: Most requests that wait.
+        queue_ms: Longest wait.
+    """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(
+        self,
+        table: revocation.CallTable,
+        slots: int,
+        queue: int,
+        queue_ms: int,
+    ) -> None:
+        self.table = table
         self.slots = slots
-        self._lock = threading.Lock()
-        self._running: set[str] = set()
-        self._draining = False
+        self.draining = False
+        self._queue_limit = queue
+        self._queue_ms = queue_ms
+        self._started_ms_by_id: dict[str, int] = {}
+        self._solo_id = ""
+        self._queue: collections.deque[_Waiting] = collections.deque()
+        self._service_ms = _START_SERVICE_MS
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that run now."""
-        return len(self._running)
-
-    def drain(self) -> None:
-        """Admit nothing from now on."""
-        self._draining = True
-
-    def begin(self, request_id: str) -> Decision:
-        """Ask for a slot."""
-        with self._lock:
-            if self._draining:
-                return Decision(refusal="draining")
-            if request_id in self._running:
-                return Decision(refusal="duplicate")
-            if len(self._running) >= self.slots:
-                return Decision(refusal="overload", retry_after_ms=50)
-            self._running.add(request_id)
-            return Decision()
-
-    def end(self, request_id: str) -> None:
-        """Give the slot back."""
-        with self._lock:
-            self._running.discard(request_id)
+        """Number of requests at the target."""
+        return len(self._started_ms_by_id)
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def running_ids(self) -> tuple[str, ...]:
+        """Ids of the requests at the target."""
+        return tuple(self._started_ms_by_id)
+
+    def begin(
+        self,
+        ticket: revocation.Ticket,
+        now_ms: int,
+        deadline_ms: int,
+        solo: bool = False,
+    ) -> Decision:
+        """Ask for a slot.
+
+        Args:
+            deadline_ms: Time left to the caller's deadline.
+            solo: Whether the request must be alone at the target.
+        """
+        if self.draining:
+            return _refuse(DRAINING)
+        if now_ms - ticket.sent_ms > deadline_ms:
+            return _refuse(LATE)
+        expected_ms = self._expected_wait_ms()
+        waits = self._must_wait(solo)
+        patience_ms = min(self._queue_ms, deadline_ms - int(self._service_ms))
+        full = len(self._queue) >= self._queue_limit
+        if waits and (full or expected_ms > patience_ms):
+            return _refuse(OVERLOAD, max(_MIN_RETRY_AFTER_MS, expected_ms))
+        refusal = self.table.admit(ticket, now_ms)
+        if refusal:
+            return _refuse(refusal)
+        if waits:
+            self._queue.append(_Waiting(call_id=ticket.call_id, solo=solo))
+            return Decision(verdict=Verdict.WAIT, wait_ms=patience_ms)
+        self._start(ticket.call_id, solo, now_ms)
+        return Decision(verdict=Verdict.START)
+
+    def give_up(self, call_id: str) -> bool:
+        """Take a request out of the queue; false if it has started."""
+        if call_id in self._started_ms_by_id:
+            return False
+        self._queue = collections.deque(
+            item for item in self._queue if item.call_id != call_id
+        )
+        self.table.withdraw(call_id)
+        return True
+
+    def end(self, call_id: str, now_ms: int) -> tuple[str, ...]:
+        """Free the slot; return the ids that start in turn."""
+        started_ms = self._started_ms_by_id.pop(call_id)
+        if self._solo_id == call_id:
+            self._solo_id = ""
+        taken_ms = now_ms - started_ms
+        self._service_ms += _SMOOTHING * (taken_ms - self._service_ms)
+        return self.promote(now_ms)
+
+    def promote(self, now_ms: int) -> tuple[str, ...]:
+        """Start the requests at the head of the queue that may start."""
+        started = []
+        while self._queue and self._has_room(self._queue[0].solo):
+            item = self._queue.popleft()
+            if self._start(item.call_id, item.solo, now_ms):
+                started.append(item.call_id)
+        return tuple(started)
+
+    def _must_wait(self, solo: bool) -> bool:
+        return bool(self._queue) or not self._has_room(solo)
+
+    def _has_room(self, solo: bool) -> bool:
+        if self._solo_id:
+            return False
+        if solo:
+            return not self._started_ms_by_id
+        return len(self._started_ms_by_id) < self.slots
+
+    def _start(self, call_id: str, solo: bool, now_ms: int) -> bool:
+        if not self.table.start(call_id, now_ms):
+            return False
+        self._started_ms_by_id[call_id] = now_ms
+        if solo:
+            self._solo_id = call_id
+        return True
+
+    def _expected_wait_ms(self) -> int:
+        turns = (len(self._queue) + 1) / max(1, self.slots)
+        return int(turns * self._service_ms)
+
+
+def _refuse(reason: str, retry_after_ms: int = 0) -> Decision:
+    return Decision(
+        verdict=Verdict.REFUSE, refusal=reason, retry_after_ms=retry_after_ms
+    )
+
+
+RETRYABLE: abc.Set[str] = frozenset(
+    {
+        DRAINING,
+        OVERLOAD,
+        LATE,
+        NO_TARGET,
+        WRONG_VERSION,
+        UNREACHABLE,
+        SHED,
+        revocation.WRONG_INCARNATION,
+        revocation.TOO_OLD,
+    }
+)
+"""Refusals after which another attempt may do better."""
+
+STALE_BOUND: abc.Set[str] = frozenset(
+    {LATE, revocation.WRONG_INCARNATION, revocation.TOO_OLD}
+)
+"""Refusals that a fresh reading of the inbound's clock may undo."""
--- /dev/null
+++ b/src/arbutusstall/_systems/attempts.py
@@ -0,0 +1,127 @@
+"""Decides what follows an attempt to run a call."""
+
+import dataclasses
+import enum
+
+from arbutusstall._systems import admission
+from arbutusstall._wire import messages
+
+_BURST = 10.0
+
+
+class Fate(enum.Enum):
+    """What is known of one attempt.
+
+    Attributes:
+        ANSWERED: The target's whole answer arrived.
+        NOT_RUN: It was certainly not executed.
+        LOST: It may have been executed.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    LOST = "lost"
+
+
+class Step(enum.Enum):
+    """What to do next."""
+
+    RETRY = "retry"
+    ANSWER = "answer"
+    SAY_NOT_RUN = "not-run"
+    SAY_UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """How one attempt ended.
+
+    Attributes:
+        reason: Why there is no answer.
+        retryable: Whether another endpoint may do better.
+    """
+
+    fate: Fate
+    answer: messages.CallAnswer | None = None
+    reason: str = ""
+    retry_after_ms: int = 0
+    retryable: bool = True
+
+
+class RetryBudget:
+    """Allows retries as a share of the requests; not thread-safe."""
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._tokens = _BURST
+
+    def deposit(self) -> None:
+        """Note a request."""
+        self._tokens = min(_BURST, self._tokens + self._share)
+
+    def withdraw(self) -> bool:
+        """Take one retry out of the budget, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def from_answer(answer: messages.CallAnswer) -> Attempt:
+    """Return how an attempt ended that got ``answer``."""
+    if answer.not_run:
+        return Attempt(
+            fate=Fate.NOT_RUN,
+            reason=answer.not_run,
+            retry_after_ms=answer.retry_after_ms,
+            retryable=answer.not_run in admission.RETRYABLE,
+        )
+    if answer.unknown:
+        return Attempt(fate=Fate.LOST, reason=answer.unknown, retryable=False)
+    return Attempt(fate=Fate.ANSWERED, answer=answer)
+
+
+def from_revocation(
+    revoked: messages.CallRevoked | None, reason: str
+) -> Attempt:
+    """Return how a lost attempt ended, by the answer to its revocation.
+
+    Args:
+        revoked: The answer, None if there was none.
+        reason: Why the attempt was lost.
+    """
+    if revoked is None:
+        return Attempt(fate=Fate.LOST, reason=reason)
+    if revoked.state is messages.RevokeState.REVOKED:
+        return Attempt(fate=Fate.NOT_RUN, reason=f"revoked: {reason}")
+    if revoked.answer is not None:
+        return from_answer(revoked.answer)
+    running = revoked.state is messages.RevokeState.RUNNING
+    return Attempt(
+        fate=Fate.LOST,
+        reason="still running" if running else reason,
+        retryable=not running,
+    )
+
+
+def next_step(
+    attempt: Attempt, *, idempotent: bool, earlier_lost: bool
+) -> Step:
+    """Return what follows when no budget or deadline stands against it.
+
+    Args:
+        earlier_lost: Whether an earlier attempt may have been executed.
+    """
+    if attempt.fate is Fate.ANSWERED:
+        return Step.ANSWER
+    lost = attempt.fate is Fate.LOST
+    if attempt.retryable and (idempotent or not lost):
+        return Step.RETRY
+    return give_up(attempt, earlier_lost=earlier_lost)
+
+
+def give_up(attempt: Attempt, *, earlier_lost: bool) -> Step:
+    """Return what the caller is told when there is no further attempt."""
+    if earlier_lost or attempt.fate is Fate.LOST:
+        return Step.SAY_UNKNOWN
+    return Step.SAY_NOT_RUN
--- a/src/arbutusstall/_systems/routing.py
+++ b/src/arbutusstall/_systems/routing.py
@@ -1,10 +1,9 @@
-"""Chooses the version and the endpoint for a call."""
+"""Finds the route of a call and chooses the version."""
 
 import random
 
 from arbutusstall import _effects
 from arbutusstall._tables import agreed
-from arbutusstall._tables import members
 
 
 def match(view: _effects.View, path: str) -> agreed.Route | None:
@@ -40,21 +39,3 @@
     if not weights:
         return None
     return rng.choices(list(weights), list(weights.values()))[0]
-
-
-def choose_endpoint(
-    view: _effects.View,
-    service: str,
-    version: str,
-    data_centre: str,
-    rng: random.Random,
-) -> members.Member | None:
-    """Choose one endpoint of a version, the own data centre first."""
-    rows = [
-        member
-        for member in view.members_by_service.get(service, ())
-        if member.version == version
-    ]
-    near = [row for row in rows if row.data_centre == data_centre]
-    candidates = near or rows
-    return rng.choice(candidates) if candidates else None
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -59,3 +59,6 @@
         default_factory=dict
     )
     attaching_to: str = ""
+    suspect_expiry_by_mark: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -5,6 +5,7 @@
 
 from collections import abc
 import dataclasses
+import enum
 from typing import Any
 
 import msgspec
@@ -90,15 +91,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallRequest:
-    """A caller's request on its way to the inbound proxy.
+    """One attempt to run a caller's request at an inbound proxy.
 
     Attributes:
+        call_id: Unique to this attempt.
+        request_id: The caller's own id, passed on to the target.
+        incarnation: Incarnation of the inbound proxy it is aimed at.
+        sent_ms: Lower bound of the inbound's clock when it was sent.
         deadline_ms: Time left to the caller's deadline.
         route: Prefix of the matched route.
         version: Version of the service the caller's proxy chose.
+        key: The caller's Idempotency-Key, empty if there is none.
+        depth: Number of calls above this one in the chain.
     """
 
+    call_id: str
     request_id: str
+    incarnation: int
+    sent_ms: int
     service: str
     version: str
     route: str
@@ -121,9 +131,12 @@
         unknown: Reason why it is not known whether it was executed.
         in_flight: Requests at the target when the answer left.
         slots: Requests that the target runs at once.
+        incarnation: Incarnation of the inbound proxy.
+        clock_ms: The inbound proxy's clock when the answer left.
     """
 
-    request_id: str
+    call_id: str
+    request_id: str = ""
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
@@ -132,6 +145,86 @@
     retry_after_ms: int = 0
     in_flight: int = 0
     slots: int = 0
+    incarnation: int = 0
+    clock_ms: int = 0
+
+
+class RevokeState(enum.Enum):
+    """What a revocation found."""
+
+    REVOKED = "revoked"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRevoke:
+    """Asks that a call never starts, or for what became of it.
+
+    Attributes:
+        wait_ms: How long to wait for the end of a call that runs.
+        cancel: Whether to break off a call that runs.
+    """
+
+    call_id: str
+    incarnation: int
+    sent_ms: int
+    wait_ms: int = 0
+    cancel: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRevoked:
+    """Answer to a revocation.
+
+    Attributes:
+        answer: The target's answer, if the call is finished and its
+            answer is still kept.
+    """
+
+    call_id: str
+    state: RevokeState
+    answer: CallAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallGreeting:
+    """Asks an inbound proxy for its incarnation and clock."""
+
+    node: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallGreeted:
+    """Answer to a greeting; the fields are those of `CallAnswer`."""
+
+    incarnation: int
+    clock_ms: int
+    in_flight: int = 0
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspect:
+    """A request that was in flight when a target crashed.
+
+    Attributes:
+        fingerprint: Digest of method, path, body and key.
+        crash: Names one crash of one target.
+        expires_s: Seconds since the epoch.
+    """
+
+    fingerprint: str
+    crash: str
+    expires_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SuspectReport:
+    """Suspects on their way to all nodes."""
+
+    rows: tuple[Suspect, ...]
 
 
 Message = (
@@ -144,6 +237,11 @@
     | OutcomeReport
     | CallRequest
     | CallAnswer
+    | CallRevoke
+    | CallRevoked
+    | CallGreeting
+    | CallGreeted
+    | SuspectReport
 )
 
 _KINDS: dict[str, type[Any]] = {
@@ -156,6 +254,11 @@
     "outcomes": OutcomeReport,
     "call": CallRequest,
     "answer": CallAnswer,
+    "revoke": CallRevoke,
+    "revoked": CallRevoked,
+    "greeting": CallGreeting,
+    "greeted": CallGreeted,
+    "suspects": SuspectReport,
 }
 _NAMES: abc.Mapping[type[Any], str] = {
     cls: name for name, cls in _KINDS.items()
