Prove at-most-once over random interleavings

A first run of 1500 derandomised interleavings found two faults: a call that was refused and then delivered again could start (its id was forgotten), and a copy of a call that had run was answered "draining" or "overload" instead of as a duplicate.

Change: refused ids are kept like revoked ones; the id is looked up before any other reason to refuse; a model with two proxies, late and doubled messages and crashes drives the product's decisions.

Ruled out: letting a copy of a call reach a second process in the model; the head of a call leaves once, over one connection.

--- /dev/null
+++ b/features/steps/at_most_once_steps.py
@@ -0,0 +1,127 @@
+"""Steps that run interleavings of one request."""
+
+import behave
+import call_model
+import hypothesis
+from hypothesis import strategies
+
+from arbutusstall._systems import attempts
+from arbutusstall._systems import revocation
+
+# One byte for each action: the high half is the kind, the low half the
+# number that chooses among its objects.
+_SCHEDULES = strategies.binary(min_size=24, max_size=48)
+_KINDS = (
+    *(call_model.Action.DELIVER,) * 6,
+    *(call_model.Action.GIVE_UP,) * 2,
+    *(call_model.Action.REACH_TARGET,) * 3,
+    *(call_model.Action.FINISH,) * 2,
+    call_model.Action.PASS_TIME,
+    call_model.Action.OTHER_CALL,
+    call_model.Action.CRASH,
+)
+
+
+class _NoTombstones(revocation.CallTable):
+    def _bury(self, call_id, sent_ms, now_ms):
+        return revocation.messages.RevokeState.REVOKED
+
+
+class _NoHorizon(revocation.CallTable):
+    def _refusal(self, ticket, now_ms):
+        refusal = super()._refusal(ticket, now_ms)
+        too_old = refusal == revocation.TOO_OLD
+        above = ticket.sent_ms > self.floor_ms
+        return "" if too_old and above else refusal
+
+
+class _NoFloor(revocation.CallTable):
+    floor_ms = property(lambda self: -1, lambda self, value: None)
+
+
+class _NoIncarnation(revocation.CallTable):
+    incarnation = property(lambda self: _Any(), lambda self, value: None)
+
+
+class _Any:
+    def __eq__(self, other):
+        return True
+
+    def __ne__(self, other):
+        return False
+
+    __hash__ = None
+
+
+_TABLES = {
+    "tombstones": _NoTombstones,
+    "horizon": _NoHorizon,
+    "floor": _NoFloor,
+    "incarnation": _NoIncarnation,
+}
+
+
+def _run(context, count, idempotent, table_type=revocation.CallTable):
+    context.twice, context.untrue, context.ends = [], [], set()
+
+    @hypothesis.settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(_SCHEDULES)
+    def interleaving(schedule):
+        model = call_model.Model(idempotent, table_type)
+        for byte in schedule:
+            model.step(_KINDS[byte >> 4], byte & 15)
+        own = [name for name in model.executions if "other" not in name]
+        context.ends.add(model.told)
+        if len(own) > 1:
+            context.twice.append(schedule)
+        if own and model.told is attempts.Step.SAY_NOT_RUN:
+            context.untrue.append(schedule)
+
+    interleaving()
+
+
+@behave.when("{count:d} interleavings of a non-idempotent request are run")
+def run_non_idempotent(context, count):
+    """Run them with the product's table."""
+    _run(context, count, False)
+    missing = set(attempts.Step) - {attempts.Step.RETRY} - context.ends
+    assert not missing, missing
+
+
+@behave.when("{count:d} interleavings of an idempotent request are run")
+def run_idempotent(context, count):
+    """Run them with the product's table."""
+    _run(context, count, True)
+
+
+@behave.when(
+    "{count:d} interleavings are run with a table that has no {mechanism}"
+)
+def run_without(context, count, mechanism):
+    """Run them with a table that lacks a mechanism."""
+    _run(context, count, False, _TABLES[mechanism])
+
+
+@behave.then("no request ran twice")
+def not_twice(context):
+    """Fail with the shortest interleaving."""
+    assert not context.twice, min(context.twice, key=len)
+
+
+@behave.then("no request that was said not to have run has run")
+def true_refusals(context):
+    """Fail with the shortest interleaving."""
+    assert not context.untrue, min(context.untrue, key=len)
+
+
+@behave.then("a violation is found")
+def violation(context):
+    """Fail if the check let the missing mechanism pass."""
+    assert context.twice or context.untrue
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -200,27 +200,27 @@
     def _run(self, call: messages.CallRequest) -> messages.CallAnswer:
         arrived_ms = self.now_ms()
         target = self._target
-        if target is None:
-            return _refusal(call, admission.NO_TARGET)
-        if target.version != call.version:
-            return _refusal(call, admission.WRONG_VERSION)
-        name = quarantine.fingerprint(
-            call.method, call.path, call.body, call.key
-        )
         running = _Running(
             call=call,
-            fingerprint=name,
+            fingerprint=quarantine.fingerprint(
+                call.method, call.path, call.body, call.key
+            ),
             started=threading.Event(),
             ended=threading.Event(),
         )
-        decision = self._begin(running, arrived_ms)
-        if decision.verdict is admission.Verdict.REFUSE:
+        decision = self._begin(running, target, arrived_ms)
+        if target is None or decision.verdict is admission.Verdict.REFUSE:
             return self._turned_away(call, decision)
         if not self._wait(running, decision):
             return _refusal(call, admission.OVERLOAD, decision.retry_after_ms)
         return self._execute(running, target, arrived_ms)
 
-    def _begin(self, running: _Running, now_ms: int) -> admission.Decision:
+    def _begin(
+        self,
+        running: _Running,
+        target: _effects.Announced | None,
+        now_ms: int,
+    ) -> admission.Decision:
         call = running.call
         ticket = revocation.Ticket(
             call_id=call.call_id,
@@ -231,11 +231,9 @@
             treatment = self._suspects.treatment(
                 running.fingerprint, time.time()
             )
-            if treatment is quarantine.Treatment.REFUSE:
-                return admission.Decision(
-                    verdict=admission.Verdict.REFUSE,
-                    refusal=quarantine.POISON,
-                )
+            refusal = _refusal_reason(call, target, treatment)
+            if refusal:
+                return self.admission.refuse(ticket, refusal, now_ms)
             decision = self.admission.begin(
                 ticket,
                 now_ms,
@@ -251,7 +249,7 @@
             return True
         running.started.wait(decision.wait_ms / 1000)
         with self._lock:
-            if not self.admission.give_up(running.call.call_id):
+            if not self.admission.give_up(running.call.call_id, self.now_ms()):
                 return True
             del self._running_by_id[running.call.call_id]
             self._promote(self.admission.promote(self.now_ms()))
@@ -323,7 +321,7 @@
         now_ms = self.now_ms()
         with self._lock:
             if answer.not_run:
-                self.admission.table.withdraw(call_id)
+                self.admission.table.withdraw(call_id, now_ms)
             else:
                 self.admission.table.finish(call_id, answer, now_ms)
             if answer.status:
@@ -426,6 +424,20 @@
         )
 
 
+def _refusal_reason(
+    call: messages.CallRequest,
+    target: _effects.Announced | None,
+    treatment: quarantine.Treatment,
+) -> str:
+    if target is None:
+        return admission.NO_TARGET
+    if target.version != call.version:
+        return admission.WRONG_VERSION
+    if treatment is quarantine.Treatment.REFUSE:
+        return quarantine.POISON
+    return ""
+
+
 def _refusal(
     call: messages.CallRequest, reason: str, retry_after_ms: int = 0
 ) -> messages.CallAnswer:
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -106,16 +106,19 @@
             deadline_ms: Time left to the caller's deadline.
             solo: Whether the request must be alone at the target.
         """
+        if self.table.get(ticket.call_id) is not None:
+            return _refuse(self.table.admit(ticket, now_ms))
         if self.draining:
-            return _refuse(DRAINING)
+            return self.refuse(ticket, DRAINING, now_ms)
         if now_ms - ticket.sent_ms > deadline_ms:
-            return _refuse(LATE)
+            return self.refuse(ticket, LATE, now_ms)
         expected_ms = self._expected_wait_ms()
         waits = self._must_wait(solo)
         patience_ms = min(self._queue_ms, deadline_ms - int(self._service_ms))
         full = len(self._queue) >= self._queue_limit
         if waits and (full or expected_ms > patience_ms):
-            return _refuse(OVERLOAD, max(_MIN_RETRY_AFTER_MS, expected_ms))
+            retry_after_ms = max(_MIN_RETRY_AFTER_MS, expected_ms)
+            return self.refuse(ticket, OVERLOAD, now_ms, retry_after_ms)
         refusal = self.table.admit(ticket, now_ms)
         if refusal:
             return _refuse(refusal)
@@ -125,14 +128,27 @@
         self._start(ticket.call_id, solo, now_ms)
         return Decision(verdict=Verdict.START)
 
-    def give_up(self, call_id: str) -> bool:
+    def refuse(
+        self,
+        ticket: revocation.Ticket,
+        reason: str,
+        now_ms: int,
+        retry_after_ms: int = 0,
+    ) -> Decision:
+        """Refuse a request, now and whenever its id comes again."""
+        if self.table.get(ticket.call_id) is not None:
+            return _refuse(self.table.admit(ticket, now_ms))
+        self.table.turn_away(ticket, now_ms)
+        return _refuse(reason, retry_after_ms)
+
+    def give_up(self, call_id: str, now_ms: int) -> bool:
         """Take a request out of the queue; false if it has started."""
         if call_id in self._started_ms_by_id:
             return False
         self._queue = collections.deque(
             item for item in self._queue if item.call_id != call_id
         )
-        self.table.withdraw(call_id)
+        self.table.withdraw(call_id, now_ms)
         return True
 
     def end(self, call_id: str, now_ms: int) -> tuple[str, ...]:
--- a/src/arbutusstall/_systems/revocation.py
+++ b/src/arbutusstall/_systems/revocation.py
@@ -104,9 +104,16 @@
         )
         return True
 
-    def withdraw(self, call_id: str) -> bool:
-        """Forget a call that was queued or whose target got no byte."""
-        return self._active_by_id.pop(call_id, None) is not None
+    def withdraw(self, call_id: str, now_ms: int) -> None:
+        """End a call that was queued or whose target got no byte."""
+        entry = self._active_by_id.pop(call_id, None)
+        if entry is not None:
+            self._bury(call_id, entry.sent_ms, now_ms)
+
+    def turn_away(self, ticket: Ticket, now_ms: int) -> None:
+        """Make sure that a call that is refused now never starts."""
+        if not self._refusal(ticket, now_ms):
+            self._bury(ticket.call_id, ticket.sent_ms, now_ms)
 
     def finish(
         self, call_id: str, answer: messages.CallAnswer, now_ms: int
