--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -84,7 +84,7 @@
         self._log.emit("node-stopping")
         self._inbound.drain()
         self._callers.close_connections()
-        self._loop.put(_effects.Left(reason="node stops"))
+        self._loop.put(_effects.Left(reason="node stops", stopping=True))
         time.sleep(_SPREAD_S)
         self._callers.stop(self._longest_call_s)
         self._inbound.stop()
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -1,5 +1,6 @@
 """All tables of one node."""
 
+import collections
 import dataclasses
 import random
 
@@ -8,6 +9,7 @@
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import relay as relay_tables
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -62,3 +64,12 @@
     suspect_expiry_by_mark: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    relay: relay_tables.RelayTable = dataclasses.field(
+        default_factory=relay_tables.RelayTable
+    )
+    spread: relay_tables.SpreadTable = dataclasses.field(
+        default_factory=relay_tables.SpreadTable
+    )
+    history: collections.OrderedDict[int, agreed_tables.Snapshot] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
