--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -8,6 +8,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall._systems import agreement
+from arbutusstall._systems import checkpoint
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
 from arbutusstall._systems import membership
@@ -22,6 +23,7 @@
 
 _EVENT_HANDLERS: dict[type[Any], _Handler] = {
     _effects.LogRead: agreement.on_read,
+    _effects.LogFailed: agreement.on_failed,
     _effects.Announced: membership.on_announced,
     _effects.Left: membership.on_left,
     _effects.Observed: outcomes.on_observed,
@@ -80,6 +82,7 @@
         """Run the periodic systems over the tables."""
         effects = tree.run(self.tables, now)
         effects += lease.run(self.tables, now)
+        effects += checkpoint.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
 
--- /dev/null
+++ b/src/arbutusstall/_log/checkpoint.py
@@ -0,0 +1,211 @@
+"""Checkpoints: the agreed state as records of the log itself.
+
+The leader appends `CheckpointBegin`. Every reader that folds it notes
+the digest of its own state at that offset; the leader then appends the
+encoded state in chunks. A reader without the prefix collects them.
+"""
+
+from collections import abc
+import dataclasses
+import zlib
+
+import msgspec
+import xxhash
+
+from arbutusstall import errors
+from arbutusstall._log import records
+from arbutusstall._tables import agreed as tables
+
+MAX_CHUNKS = 1_024
+MAX_STATE_BYTES = 64 * 1024 * 1024
+
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_DECODER = msgspec.msgpack.Decoder(tables.Agreed)
+
+
+def encode(state: tables.Agreed) -> bytes:
+    """Return the canonical encoding of a state, the begun part left out."""
+    return _ENCODER.encode(dataclasses.replace(state, begun=None))
+
+
+def digest(data: bytes) -> str:
+    """Return the hash of an encoded state."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def chunks(
+    state: tables.Agreed, chunk_bytes: int
+) -> tuple[records.CheckpointChunk, ...]:
+    """Return the chunks of the checkpoint that ``state`` has just begun.
+
+    Args:
+        state: The state right after a `CheckpointBegin`.
+        chunk_bytes: Largest size of a chunk's data.
+    """
+    begun = state.begun
+    assert begun is not None
+    data = zlib.compress(encode(state))
+    parts = [
+        data[start : start + chunk_bytes]
+        for start in range(0, len(data), chunk_bytes)
+    ]
+    return tuple(
+        records.CheckpointChunk(
+            record_id=f"checkpoint/{begun.lease}/{begun.through}/{index}",
+            lease=begun.lease,
+            through=begun.through,
+            digest=begun.digest,
+            made_s=begun.made_s,
+            index=index,
+            count=len(parts),
+            data=part,
+            checksum=xxhash.xxh3_64_hexdigest(part),
+        )
+        for index, part in enumerate(parts)
+    )
+
+
+def apply_begin(
+    state: tables.Agreed, offset: int, record: records.CheckpointBegin
+) -> tables.Agreed:
+    """Return the state after the begin of a checkpoint."""
+    if record.lease != state.lease.offset:
+        return state
+    newest = state.begun or state.checkpoint
+    if newest is not None and record.made_s <= newest.made_s:
+        return state
+    begun = tables.Checkpoint(
+        through=offset + 1,
+        digest=digest(encode(state)),
+        lease=record.lease,
+        made_s=record.made_s,
+    )
+    return dataclasses.replace(state, begun=begun)
+
+
+def apply_chunk(
+    state: tables.Agreed, record: records.CheckpointChunk
+) -> tables.Agreed:
+    """Return the state after one chunk of the begun checkpoint."""
+    begun = state.begun
+    if begun is None or record.lease != state.lease.offset:
+        return state
+    if not _belongs(record, begun) or damage(record):
+        return state
+    begun = dataclasses.replace(
+        begun,
+        count=record.count,
+        accepted=begun.accepted | 1 << record.index,
+    )
+    if not begun.whole:
+        return dataclasses.replace(state, begun=begun)
+    return dataclasses.replace(state, begun=None, checkpoint=begun)
+
+
+def mismatch(state: tables.Agreed, record: records.Record | None) -> bool:
+    """Tell whether a chunk contradicts what this reader folded."""
+    return (
+        isinstance(record, records.CheckpointChunk)
+        and state.begun is not None
+        and record.lease == state.lease.offset
+        and record.through == state.begun.through
+        and record.digest != state.begun.digest
+    )
+
+
+def damage(record: records.CheckpointChunk) -> str:
+    """Return what is wrong with a chunk by itself; empty if nothing."""
+    if not 0 <= record.index < record.count <= MAX_CHUNKS:
+        return f"chunk {record.index} of {record.count}"
+    if xxhash.xxh3_64_hexdigest(record.data) != record.checksum:
+        return "the checksum is wrong"
+    return ""
+
+
+def assemble(
+    parts: abc.Iterable[records.CheckpointChunk],
+) -> tables.Agreed | None:
+    """Return the state that a complete set of chunks encodes.
+
+    None if a chunk is missing or damaged, or the digest is wrong. The
+    caller still has to fold the records that follow, which shows
+    whether the chunks were written under a valid lease.
+    """
+    by_index = {part.index: part for part in parts if not damage(part)}
+    first = by_index.get(0)
+    if first is None or sorted(by_index) != list(range(first.count)):
+        return None
+    packed = b"".join(by_index[index].data for index in range(first.count))
+    try:
+        data = _unpack(packed)
+        if digest(data) != first.digest:
+            return None
+        state = _DECODER.decode(data)
+    except (zlib.error, msgspec.MsgspecError, errors.WireError):
+        return None
+    if state.offset != first.through or state.lease.offset != first.lease:
+        return None
+    begun = tables.Checkpoint(
+        through=first.through,
+        digest=first.digest,
+        lease=first.lease,
+        made_s=first.made_s,
+    )
+    return dataclasses.replace(state, begun=begun)
+
+
+class Candidates:
+    """Chunks by checkpoint, as a reader without the prefix finds them."""
+
+    def __init__(self) -> None:
+        self._parts: dict[
+            tuple[int, int, str, float, int],
+            dict[int, records.CheckpointChunk],
+        ] = {}
+
+    def add(self, record: records.CheckpointChunk) -> tables.Agreed | None:
+        """Keep a chunk; return the state once all of it is there."""
+        if damage(record):
+            return None
+        key = (
+            record.through,
+            record.lease,
+            record.digest,
+            record.made_s,
+            record.count,
+        )
+        parts = self._parts.setdefault(key, {})
+        parts[record.index] = record
+        if len(parts) < record.count:
+            return None
+        del self._parts[key]
+        return assemble(parts.values())
+
+    def drop_older(self, through: int) -> None:
+        """Forget the chunks of checkpoints that end before ``through``."""
+        self._parts = {
+            key: parts
+            for key, parts in self._parts.items()
+            if key[0] >= through
+        }
+
+
+def _belongs(
+    record: records.CheckpointChunk, begun: tables.Checkpoint
+) -> bool:
+    return (
+        record.through == begun.through
+        and record.digest == begun.digest
+        and record.made_s == begun.made_s
+        and begun.count in (0, record.count)
+    )
+
+
+def _unpack(packed: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    data = inflater.decompress(packed, MAX_STATE_BYTES)
+    if inflater.unconsumed_tail or not inflater.eof:
+        raise errors.WireError(
+            step="checkpoint.decode", peer="log", reason="size"
+        )
+    return data
--- /dev/null
+++ b/src/arbutusstall/_log/differences.py
@@ -0,0 +1,109 @@
+"""What a release would change in a configuration."""
+
+import dataclasses
+
+from arbutusstall import _notes
+from arbutusstall._log import status
+from arbutusstall._tables import agreed
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Difference:
+    """One item that changes.
+
+    Attributes:
+        sign: ``+`` added, ``-`` withdrawn, ``~`` changed.
+        key: ``service/NAME``, ``route/PREFIX`` or ``shares/SERVICE``.
+        before: What it is now; empty if it is not there.
+        after: What it becomes; empty if it is withdrawn.
+    """
+
+    sign: str
+    key: str
+    before: str = ""
+    after: str = ""
+
+    def line(self) -> str:
+        """Return the difference as one line."""
+        text = f"{self.sign} {self.key}"
+        if self.before and self.after:
+            return f"{text}: {self.before} -> {self.after}"
+        return f"{text}: {self.before or self.after}".rstrip(": ")
+
+
+def of(
+    note: _notes.ReleaseNote, old: agreed.Snapshot
+) -> tuple[Difference, ...]:
+    """Return the changes that ``note`` makes to ``old``, sorted by key."""
+    rows = _services(note) + _routes(note, old) + _shares(note, old)
+    return tuple(sorted(rows, key=lambda row: (row.key, row.sign)))
+
+
+def _services(note: _notes.ReleaseNote) -> list[Difference]:
+    added = [
+        Difference(sign="+", key=f"service/{item.name}")
+        for item in note.add.services
+    ]
+    return added + [
+        Difference(sign="-", key=f"service/{name}")
+        for name in note.withdraw.services
+    ]
+
+
+def _routes(
+    note: _notes.ReleaseNote, old: agreed.Snapshot
+) -> list[Difference]:
+    rows = []
+    for item in note.add.routes + note.change.routes:
+        known = old.routes_by_prefix.get(item.prefix)
+        before, after = _route(known), _route(item)
+        if before != after:
+            rows.append(
+                Difference(
+                    sign="~" if known else "+",
+                    key=f"route/{item.prefix}",
+                    before=before,
+                    after=after,
+                )
+            )
+    for prefix in note.withdraw.routes:
+        known = old.routes_by_prefix.get(prefix)
+        rows.append(
+            Difference(sign="-", key=f"route/{prefix}", before=_route(known))
+        )
+    return rows
+
+
+def _route(route: agreed.Route | _notes.RouteItem | None) -> str:
+    if route is None:
+        return ""
+    kind = "idempotent" if route.idempotent else "not idempotent"
+    return f"{route.service}, {route.timeout_ms} ms, {kind}"
+
+
+def _shares(
+    note: _notes.ReleaseNote, old: agreed.Snapshot
+) -> list[Difference]:
+    rows = []
+    for item in note.shares:
+        known = old.shares_by_service.get(item.service)
+        before = status.percents(known.percent_by_version) if known else ""
+        after = status.percents(item.percent_by_version)
+        if before != after:
+            when = f" by {item.by.isoformat()}" if item.by else ""
+            rows.append(
+                Difference(
+                    sign="~" if known else "+",
+                    key=f"shares/{item.service}",
+                    before=before,
+                    after=after + when,
+                )
+            )
+    for name in note.withdraw.services:
+        known = old.shares_by_service.get(name)
+        if known is not None:
+            before = status.percents(known.percent_by_version)
+            rows.append(
+                Difference(sign="-", key=f"shares/{name}", before=before)
+            )
+    return rows
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -1,14 +1,47 @@
-"""The fold: applies log records to the agreed state in log order."""
+"""The fold: applies log records to the agreed state in log order.
+
+No table of record ids is needed: each record names what it found (a
+lease, a step, a sequence number, item offsets), so that a repeated one
+no longer fits and changes nothing.
+"""
 
-from collections import abc
 import dataclasses
 
-from arbutusstall import _notes
+from arbutusstall import errors
+from arbutusstall._log import checkpoint
 from arbutusstall._log import records
+from arbutusstall._log import releases
 from arbutusstall._log import rollouts
 from arbutusstall._tables import agreed as tables
 
-_RECORD_IDS_KEPT = 20_000
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Folded:
+    """The state after one log entry.
+
+    Attributes:
+        problem: Why the entry was skipped; empty if it was not.
+    """
+
+    state: tables.Agreed
+    record: records.Record | None = None
+    problem: str = ""
+
+
+def apply_entry(state: tables.Agreed, offset: int, data: bytes) -> Folded:
+    """Return the state after the encoded record at ``offset``.
+
+    A record that cannot be read, or that fails in the fold, changes
+    nothing but the position.
+    """
+    try:
+        record = records.decode(data)
+        return Folded(state=apply(state, offset, record), record=record)
+    except errors.WireError as exc:
+        problem = exc.reason
+    except Exception as exc:  # A record must never stop the fold.
+        problem = f"{type(exc).__name__}: {exc}"
+    return Folded(state=skip(state, offset), problem=problem)
 
 
 def apply(
@@ -18,15 +51,10 @@
 
     A record that breaks a rule changes nothing but the position.
     """
-    state = dataclasses.replace(state, offset=offset + 1)
-    if record.record_id in state.record_ids:
-        return state
-    state = dataclasses.replace(
-        state, record_ids=_remember(state.record_ids, record, offset)
-    )
+    state = skip(state, offset)
     match record:
         case records.ReleaseRecord():
-            return _release(state, offset, record)
+            return releases.apply(state, offset, record)
         case records.LeaseClaim():
             return _claim(state, offset, record)
         case records.LeaseRenewal():
@@ -37,126 +65,15 @@
             return rollouts.apply_verdict(state, offset, record)
         case records.RootRecord():
             return _root(state, offset, record)
+        case records.CheckpointBegin():
+            return checkpoint.apply_begin(state, offset, record)
+        case records.CheckpointChunk():
+            return checkpoint.apply_chunk(state, record)
 
 
-def item_keys(note: _notes.ReleaseNote) -> tuple[str, ...]:
-    """Return the keys of all items that a release touches, sorted."""
-    keys = {f"service/{item.name}" for item in note.add.services}
-    keys |= {f"service/{item.name}" for item in note.change.services}
-    keys |= {f"service/{name}" for name in note.withdraw.services}
-    keys |= {f"route/{item.prefix}" for item in note.add.routes}
-    keys |= {f"route/{item.prefix}" for item in note.change.routes}
-    keys |= {f"route/{prefix}" for prefix in note.withdraw.routes}
-    keys |= {f"shares/{item.service}" for item in note.shares}
-    return tuple(sorted(keys))
-
-
-def _remember(
-    ids: abc.Mapping[str, int], record: records.Record, offset: int
-) -> abc.Mapping[str, int]:
-    kept = dict(ids)
-    kept[record.record_id] = offset
-    if len(kept) > _RECORD_IDS_KEPT:
-        del kept[next(iter(kept))]
-    return kept
-
-
-def _release(
-    state: tables.Agreed, offset: int, record: records.ReleaseRecord
-) -> tables.Agreed:
-    known = state.releases_by_name.get(record.note.name)
-    if known is not None:
-        return state
-    reason = _conflict(state, record) or _dangling(state, record.note)
-    outcome = tables.ReleaseOutcome(
-        name=record.note.name,
-        digest=record.digest,
-        state=tables.ReleaseState.REFUSED
-        if reason
-        else tables.ReleaseState.ACCEPTED,
-        reason=reason,
-        offset=offset,
-    )
-    releases = {**state.releases_by_name, record.note.name: outcome}
-    state = dataclasses.replace(state, releases_by_name=releases)
-    if reason:
-        return state
-    items = dict(state.item_offsets_by_key)
-    for key in item_keys(record.note):
-        items[key] = offset
-    return dataclasses.replace(
-        state,
-        snapshot=_snapshot(state.snapshot, offset, record),
-        item_offsets_by_key=items,
-    )
-
-
-def _conflict(state: tables.Agreed, record: records.ReleaseRecord) -> str:
-    for key in item_keys(record.note):
-        current = state.item_offsets_by_key.get(key, tables.NO_OFFSET)
-        if current != record.seen.get(key, tables.NO_OFFSET):
-            return f"{key} was changed meanwhile, at offset {current}"
-    return ""
-
-
-def _dangling(state: tables.Agreed, note: _notes.ReleaseNote) -> str:
-    services = set(state.snapshot.services_by_name)
-    services |= {item.name for item in note.add.services}
-    services -= set(note.withdraw.services)
-    routes = {
-        route.prefix: route.service
-        for route in state.snapshot.routes_by_prefix.values()
-    }
-    for item in note.add.routes + note.change.routes:
-        routes[item.prefix] = item.service
-    for prefix in note.withdraw.routes:
-        routes.pop(prefix, None)
-    for prefix, service in sorted(routes.items()):
-        if service not in services:
-            return f"route {prefix} names the unknown service {service}"
-    for share in note.shares:
-        if share.service not in services:
-            return f"shares name the unknown service {share.service}"
-    return ""
-
-
-def _snapshot(
-    old: tables.Snapshot, offset: int, record: records.ReleaseRecord
-) -> tables.Snapshot:
-    note = record.note
-    services = dict(old.services_by_name)
-    routes = dict(old.routes_by_prefix)
-    shares = dict(old.shares_by_service)
-    moves = dict(old.rollouts_by_id)
-    for service in note.add.services + note.change.services:
-        services[service.name] = tables.Service(name=service.name)
-    for route in note.add.routes + note.change.routes:
-        routes[route.prefix] = tables.Route(
-            prefix=route.prefix,
-            service=route.service,
-            timeout_ms=route.timeout_ms,
-            idempotent=route.idempotent,
-        )
-    for prefix in note.withdraw.routes:
-        routes.pop(prefix, None)
-    for name in note.withdraw.services:
-        services.pop(name, None)
-        shares.pop(name, None)
-    for item in note.shares:
-        rollout = rollouts.begin(shares, offset, record, item)
-        moves[rollout.rollout_id] = rollout
-        if rollout.state is tables.RolloutState.DONE:
-            shares[item.service] = tables.Shares(
-                service=item.service, percent_by_version=rollout.goal
-            )
-    return tables.Snapshot(
-        version=offset + 1,
-        services_by_name=services,
-        routes_by_prefix=routes,
-        shares_by_service=shares,
-        rollouts_by_id=moves,
-        blocked=old.blocked,
-    )
+def skip(state: tables.Agreed, offset: int) -> tables.Agreed:
+    """Return the state after an unreadable record at ``offset``."""
+    return dataclasses.replace(state, offset=offset + 1)
 
 
 def _claim(
@@ -164,16 +81,27 @@
 ) -> tables.Agreed:
     if record.replaces != state.lease.offset:
         return state
-    lease = tables.Lease(offset=offset, holder=record.holder, renewed=offset)
+    lease = tables.Lease(
+        offset=offset,
+        holder=record.holder,
+        renewed=offset,
+        renewed_by=record.record_id,
+    )
     return dataclasses.replace(state, lease=lease)
 
 
 def _renew(
     state: tables.Agreed, offset: int, record: records.LeaseRenewal
 ) -> tables.Agreed:
-    if record.lease != state.lease.offset:
+    lease = state.lease
+    if record.lease != lease.offset or record.sequence <= lease.sequence:
         return state
-    lease = dataclasses.replace(state.lease, renewed=offset)
+    lease = dataclasses.replace(
+        lease,
+        renewed=offset,
+        renewed_by=record.record_id,
+        sequence=record.sequence,
+    )
     return dataclasses.replace(state, lease=lease)
 
 
@@ -189,8 +117,3 @@
     )
     roots = {**state.roots_by_node, record.node: root}
     return dataclasses.replace(state, roots_by_node=roots)
-
-
-def skip(state: tables.Agreed, offset: int) -> tables.Agreed:
-    """Return the state after an unreadable record at ``offset``."""
-    return dataclasses.replace(state, offset=offset + 1)
--- /dev/null
+++ b/src/arbutusstall/_log/follower.py
@@ -0,0 +1,120 @@
+"""Folds a log whose oldest records a reader cannot see."""
+
+import dataclasses
+
+from arbutusstall import _effects
+from arbutusstall import errors
+from arbutusstall._log import checkpoint
+from arbutusstall._log import fold
+from arbutusstall._log import records
+from arbutusstall._tables import agreed
+
+BUFFERED_ENTRIES = 100_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Step:
+    """What one entry did to a follower.
+
+    Attributes:
+        event: Empty, ``record-skipped``, ``checkpoint-mismatch``,
+            ``log-gap``, ``checkpoint-applied`` or
+            ``checkpoint-refused``.
+    """
+
+    event: str = ""
+    offset: int = agreed.NO_OFFSET
+    reason: str = ""
+
+
+class Follower:
+    """Keeps the agreed state current from log entries in order.
+
+    After a gap the state stands still, entries are buffered, and the
+    newest whole checkpoint with the entries after it takes over.
+
+    Attributes:
+        state: The agreed state; never moves backwards.
+        waiting: Whether a checkpoint is awaited.
+    """
+
+    def __init__(self, state: agreed.Agreed | None = None) -> None:
+        self.state = state or agreed.Agreed()
+        self.waiting = False
+        self._next = self.state.offset
+        self._buffer: list[_effects.LogEntry] = []
+        self._candidates = checkpoint.Candidates()
+
+    def read(self, answer: _effects.LogRead) -> list[Step]:
+        """Take the entries of one log read."""
+        steps: list[Step] = []
+        for entry in answer.entries:
+            if entry.offset >= self._next:
+                steps += self._gap(entry.offset)
+                self._next = entry.offset + 1
+                steps += self._take(entry)
+        if not answer.entries:
+            steps += self._gap(min(answer.first_kept, answer.next_offset))
+        return steps
+
+    def caught_up(self, next_offset: int) -> bool:
+        """Tell whether all entries before ``next_offset`` are folded."""
+        return not self.waiting and self.state.offset >= next_offset
+
+    def _gap(self, offset: int) -> list[Step]:
+        if offset <= self._next:
+            return []
+        self._next = offset
+        self.waiting = True
+        self._buffer.clear()
+        self._candidates.drop_older(offset)
+        return [Step(event="log-gap", offset=offset, reason="expired")]
+
+    def _take(self, entry: _effects.LogEntry) -> list[Step]:
+        if self.waiting:
+            return self._wait(entry)
+        before = self.state
+        done = fold.apply_entry(before, entry.offset, entry.data)
+        self.state = done.state
+        if done.problem:
+            return [_step("record-skipped", entry, done.problem)]
+        if checkpoint.mismatch(before, done.record):
+            return [_step("checkpoint-mismatch", entry, "digests differ")]
+        return []
+
+    def _wait(self, entry: _effects.LogEntry) -> list[Step]:
+        self._buffer.append(entry)
+        del self._buffer[:-BUFFERED_ENTRIES]
+        try:
+            record = records.decode(entry.data)
+        except errors.WireError as exc:
+            return [_step("record-skipped", entry, exc.reason)]
+        if not isinstance(record, records.CheckpointChunk):
+            return []
+        damage = checkpoint.damage(record)
+        if damage:
+            return [_step("record-skipped", entry, damage)]
+        state = self._candidates.add(record)
+        return self._try(state, entry) if state is not None else []
+
+    def _try(
+        self, state: agreed.Agreed, entry: _effects.LogEntry
+    ) -> list[Step]:
+        through = state.offset
+        if through < self.state.offset or through < self._buffer[0].offset:
+            return [_step("checkpoint-refused", entry, "it is too old")]
+        for item in self._buffer:
+            if item.offset >= through:
+                state = fold.apply_entry(state, item.offset, item.data).state
+        newest = state.checkpoint
+        if newest is None or newest.through != through:
+            return [_step("checkpoint-refused", entry, "its lease is stale")]
+        self.state = state
+        self.waiting = False
+        self._buffer.clear()
+        self._candidates = checkpoint.Candidates()
+        return [_step("checkpoint-applied", entry, f"through {through}")]
+
+
+def _step(event: str, entry: _effects.LogEntry, reason: str) -> Step:
+    return Step(event=event, offset=entry.offset, reason=reason)
--- /dev/null
+++ b/src/arbutusstall/_log/pending.py
@@ -0,0 +1,107 @@
+"""Records that wait to be appended, bounded in number and time."""
+
+import dataclasses
+import random
+
+from arbutusstall._log import records
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PendingAppend:
+    """One append; times are monotonic seconds.
+
+    Attributes:
+        due_s: Earliest time of the next attempt.
+        give_up_s: No attempt begins after this time.
+        attempts: Attempts that got no answer.
+    """
+
+    record: records.Record
+    due_s: float
+    give_up_s: float
+    attempts: int = 0
+
+
+class PendingAppends:
+    """The queue of one node's appends; not thread-safe.
+
+    Attributes:
+        limit: Appends that wait at most.
+    """
+
+    def __init__(
+        self,
+        *,
+        limit: int,
+        bound_s: float,
+        base_s: float,
+        cap_s: float,
+        rng: random.Random,
+    ) -> None:
+        self.limit = limit
+        self._bound_s = bound_s
+        self._base_s = base_s
+        self._cap_s = cap_s
+        self._rng = rng
+        self._waiting_by_key: dict[str, PendingAppend] = {}
+        self._sending: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_key)
+
+    def add(self, record: records.Record, now_s: float) -> bool:
+        """Queue a record; return whether there was room.
+
+        A record that is queued or being sent already is taken once. A
+        newer lease record takes the place of an older one.
+        """
+        if record.record_id in self._sending:
+            return True
+        key = records.queue_key(record)
+        known = self._waiting_by_key.get(key)
+        if known is not None and known.record == record:
+            return True
+        if known is None and len(self) >= self.limit:
+            return False
+        self._waiting_by_key[key] = PendingAppend(
+            record=record, due_s=now_s, give_up_s=now_s + self._bound_s
+        )
+        return True
+
+    def take(self, now_s: float) -> PendingAppend | None:
+        """Remove and return the append that has been due longest."""
+        key = min(
+            self._waiting_by_key,
+            key=lambda name: self._waiting_by_key[name].due_s,
+            default=None,
+        )
+        if key is None or self._waiting_by_key[key].due_s > now_s:
+            return None
+        item = self._waiting_by_key.pop(key)
+        self._sending.add(item.record.record_id)
+        return item
+
+    def wait_s(self, now_s: float) -> float | None:
+        """Return the time until an append is due; None if none waits."""
+        due = [item.due_s for item in self._waiting_by_key.values()]
+        return max(0.0, min(due) - now_s) if due else None
+
+    def answered(self, item: PendingAppend) -> None:
+        """Note that the log stored a taken append."""
+        self._sending.discard(item.record.record_id)
+
+    def failed(self, item: PendingAppend, now_s: float) -> bool:
+        """Queue a taken append again; return False if it is given up."""
+        self._sending.discard(item.record.record_id)
+        delay_s = self._rng.uniform(
+            0.0, min(self._cap_s, self._base_s * 2.0 ** min(item.attempts, 16))
+        )
+        key = records.queue_key(item.record)
+        if key in self._waiting_by_key:
+            return True
+        if now_s + delay_s > item.give_up_s:
+            return False
+        self._waiting_by_key[key] = dataclasses.replace(
+            item, due_s=now_s + delay_s, attempts=item.attempts + 1
+        )
+        return True
--- /dev/null
+++ b/src/arbutusstall/_log/publishing.py
@@ -0,0 +1,192 @@
+"""Publishes a release so that its outcome is known afterwards."""
+
+from collections import abc
+import dataclasses
+import random
+import time
+import uuid
+
+import expression
+
+from arbutusstall import _notes
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._log import client
+from arbutusstall._log import reader
+from arbutusstall._log import records
+from arbutusstall._log import releases
+from arbutusstall._tables import agreed
+
+_MAX_EXPONENT = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Publication:
+    """A release that is accepted.
+
+    Attributes:
+        state: The agreed state that shows it.
+        repeated: Whether it had been accepted before.
+    """
+
+    outcome: agreed.ReleaseOutcome
+    state: agreed.Agreed
+    repeated: bool = False
+
+
+Published = expression.Result[Publication, errors.ArbutusstallError]
+
+
+def record_of(
+    note: _notes.ReleaseNote, state: agreed.Agreed
+) -> records.ReleaseRecord:
+    """Return the record that publishes ``note`` on top of ``state``."""
+    return records.ReleaseRecord(
+        record_id=f"release/{note.name}/{uuid.uuid4().hex}",
+        note=note,
+        digest=_notes.digest(note),
+        published_s=time.time(),
+        seen={
+            key: state.item_offsets_by_key.get(key, agreed.NO_OFFSET)
+            for key in releases.item_keys(note)
+        },
+        read_to=state.offset,
+    )
+
+
+class Publisher:
+    """Appends releases and reads back what became of them."""
+
+    def __init__(
+        self,
+        log: client.LogClient,
+        settings: _settings.LogSettings,
+        bound_s: float,
+        sleep: abc.Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._log = log
+        self._settings = settings
+        self._sleep = sleep
+        self._rng = random.Random()
+        self._end_s = time.monotonic() + bound_s
+
+    def read(self, state: agreed.Agreed | None = None) -> agreed.Agreed:
+        """Return the agreed state, repeating the read while it fails.
+
+        Raises:
+            LogUnavailable: The log did not answer in time.
+        """
+        failures = 0
+        while True:
+            try:
+                return reader.read_agreed(self._log, state)
+            except errors.LogUnavailable:
+                if not self._wait(failures):
+                    raise
+            failures += 1
+
+    def publish(
+        self, note: _notes.ReleaseNote, state: agreed.Agreed
+    ) -> Published:
+        """Append the release on top of ``state`` and return its outcome.
+
+        The error is `ReleaseRefused`, or `LogUnavailable` when the
+        outcome is not known.
+        """
+        known = state.releases_by_name.get(note.name)
+        accepted = agreed.ReleaseState.ACCEPTED
+        if known is not None and known.state is accepted:
+            return _accepted_before(note, known, state)
+        record = record_of(note, state)
+        reason = releases.refusal(state, record)
+        if reason:
+            return expression.Error(_refused(note, reason))
+        return self._append(record, state)
+
+    def _append(
+        self, record: records.ReleaseRecord, state: agreed.Agreed
+    ) -> Published:
+        failures = 0
+        stored_maybe = False
+        while True:
+            failure = self._append_once(record)
+            stored_maybe |= not isinstance(failure, errors.LogOverloaded)
+            try:
+                state = self.read(state)
+            except errors.LogUnavailable as exc:
+                return expression.Error(exc)
+            found = _found(record, state)
+            if found is not None:
+                return found
+            if failure is None or not self._wait(failures):
+                break
+            failures += 1
+        if stored_maybe or failure is None:
+            return expression.Error(_unknown(failure))
+        return expression.Error(_refused(record.note, failure.reason))
+
+    def _append_once(
+        self, record: records.ReleaseRecord
+    ) -> errors.LogUnavailable | None:
+        try:
+            self._log.append(records.encode(record))
+        except errors.LogUnavailable as exc:
+            return exc
+        return None
+
+    def _wait(self, failures: int) -> bool:
+        settings = self._settings
+        top_s = settings.retry_base_s * 2.0 ** min(failures, _MAX_EXPONENT)
+        delay_s = self._rng.uniform(0.0, min(settings.retry_cap_s, top_s))
+        if time.monotonic() + delay_s >= self._end_s:
+            return False
+        self._sleep(delay_s)
+        return True
+
+
+def _found(
+    record: records.ReleaseRecord, state: agreed.Agreed
+) -> Published | None:
+    outcome = state.releases_by_name.get(record.note.name)
+    if outcome is None or outcome.offset < record.read_to:
+        return None
+    if outcome.state is agreed.ReleaseState.REFUSED:
+        reason = outcome.reason
+        if outcome.record_id != record.record_id:
+            reason = (
+                f"$.name: refused meanwhile for another operator: {reason}"
+            )
+        return expression.Error(_refused(record.note, reason))
+    if outcome.record_id == record.record_id:
+        return expression.Ok(Publication(outcome=outcome, state=state))
+    return _accepted_before(record.note, outcome, state)
+
+
+def _accepted_before(
+    note: _notes.ReleaseNote,
+    known: agreed.ReleaseOutcome,
+    state: agreed.Agreed,
+) -> Published:
+    if known.digest == _notes.digest(note):
+        return expression.Ok(
+            Publication(outcome=known, state=state, repeated=True)
+        )
+    reason = (
+        f"$.name: a release of this name was accepted with other content "
+        f"at offset {known.offset}; choose another name"
+    )
+    return expression.Error(_refused(note, reason))
+
+
+def _refused(note: _notes.ReleaseNote, reason: str) -> errors.ReleaseRefused:
+    return errors.ReleaseRefused(
+        step="release.publish", peer=note.name, reason=reason
+    )
+
+
+def _unknown(failure: errors.LogUnavailable | None) -> errors.LogUnavailable:
+    return failure or errors.LogUnavailable(
+        step="release.publish",
+        peer="log",
+        reason="the record was stored but is not there to read",
+    )
--- a/src/arbutusstall/_log/reader.py
+++ b/src/arbutusstall/_log/reader.py
@@ -2,8 +2,7 @@
 
 from arbutusstall import errors
 from arbutusstall._log import client
-from arbutusstall._log import fold
-from arbutusstall._log import records
+from arbutusstall._log import follower
 from arbutusstall._tables import agreed
 
 
@@ -17,17 +16,22 @@
         state: A state to go on from; the empty one if None.
 
     Raises:
-        LogUnavailable: The log did not answer.
+        LogUnavailable: The log did not answer, or its oldest records
+            have expired and it holds no whole checkpoint.
     """
-    state = state or agreed.Agreed()
+    following = follower.Follower(state)
+    offset = following.state.offset
     while True:
-        answer = log.read(state.offset, 0.0)
-        for entry in answer.entries:
-            try:
-                record = records.decode(entry.data)
-            except errors.WireError:
-                state = fold.skip(state, entry.offset)
-                continue
-            state = fold.apply(state, entry.offset, record)
-        if not answer.entries or state.offset >= answer.next_offset:
-            return state
+        answer = log.read(offset, 0.0)
+        following.read(answer)
+        if answer.entries:
+            offset = answer.entries[-1].offset + 1
+        if answer.entries and offset < answer.next_offset:
+            continue
+        if following.waiting:
+            raise errors.LogUnavailable(
+                step="log.fold",
+                peer="log",
+                reason="it holds no whole checkpoint",
+            )
+        return following.state
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -22,6 +22,7 @@
         published_s: Publication time, seconds since the epoch.
         seen: For each touched item the offset of the change that the
             operator saw last; -1 for an item that was not there.
+        read_to: Offset up to which the operator had read the log.
     """
 
     record_id: str
@@ -29,6 +30,7 @@
     digest: str
     published_s: float
     seen: abc.Mapping[str, int]
+    read_to: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,10 +44,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseRenewal:
-    """Extends the lease that was claimed at offset ``lease``."""
+    """Extends the lease that was claimed at offset ``lease``.
+
+    Attributes:
+        sequence: Grows with each renewal of one lease, so that a
+            repeated or overtaken renewal has no effect.
+    """
 
     record_id: str
     lease: int
+    sequence: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +94,44 @@
     admin: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckpointBegin:
+    """Asks every reader for the digest of the state at this offset.
+
+    Attributes:
+        made_s: The leader's time, seconds since the epoch.
+    """
+
+    record_id: str
+    lease: int
+    made_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckpointChunk:
+    """One part of an encoded state.
+
+    Attributes:
+        through: Offset of the first record that the state lacks.
+        digest: Hash of the whole encoded state.
+        made_s: Copied from the `CheckpointBegin`.
+        index: Position of this part, from zero.
+        count: Number of parts.
+        data: Part of the compressed state.
+        checksum: Hash of ``data``.
+    """
+
+    record_id: str
+    lease: int
+    through: int
+    digest: str
+    made_s: float
+    index: int
+    count: int
+    data: bytes
+    checksum: str
+
+
 Record = (
     ReleaseRecord
     | LeaseClaim
@@ -93,6 +139,8 @@
     | ShareDecision
     | Verdict
     | RootRecord
+    | CheckpointBegin
+    | CheckpointChunk
 )
 
 _KINDS: dict[str, type[Record]] = {
@@ -102,6 +150,8 @@
     "shares": ShareDecision,
     "verdict": Verdict,
     "root": RootRecord,
+    "checkpoint-begin": CheckpointBegin,
+    "checkpoint-chunk": CheckpointChunk,
 }
 _NAMES = {cls: name for name, cls in _KINDS.items()}
 
@@ -112,6 +162,17 @@
     body: msgspec.Raw
 
 
+def queue_key(record: Record) -> str:
+    """Return what a newer pending append replaces an older one by.
+
+    Of lease records only the newest matters; any other record is
+    replaced by nothing but itself.
+    """
+    if isinstance(record, LeaseClaim | LeaseRenewal):
+        return "lease"
+    return record.record_id
+
+
 def encode(record: Record) -> bytes:
     """Return the record as JSON bytes."""
     body = msgspec.Raw(msgspec.json.encode(record))
--- /dev/null
+++ b/src/arbutusstall/_log/releases.py
@@ -0,0 +1,332 @@
+"""The part of the fold that concerns releases."""
+
+from collections import abc
+import dataclasses
+import itertools
+
+import xxhash
+
+from arbutusstall import _files
+from arbutusstall import _notes
+from arbutusstall._log import records
+from arbutusstall._log import rollouts
+from arbutusstall._tables import agreed as tables
+
+# Outcomes leave in batches, so that the cost of copying is spread.
+RELEASES_KEPT = 5_000
+RELEASES_BATCH = 500
+FORGOTTEN_BATCHES = 100
+ENDED_ROLLOUTS_KEPT = 300
+
+
+def apply(
+    state: tables.Agreed, offset: int, record: records.ReleaseRecord
+) -> tables.Agreed:
+    """Return the state after a release, accepted or refused by name.
+
+    A refused name may be used again by a record that was written after
+    the refusal was read; a repeated append was written before.
+    """
+    known = state.releases_by_name.get(record.note.name)
+    if known is not None and not _retries(known, record):
+        return state
+    reason = refusal(state, record)
+    outcome = tables.ReleaseOutcome(
+        name=record.note.name,
+        digest=record.digest,
+        state=tables.ReleaseState.REFUSED
+        if reason
+        else tables.ReleaseState.ACCEPTED,
+        reason=reason,
+        offset=offset,
+        record_id=record.record_id,
+    )
+    if not reason:
+        state = _accept(state, offset, record)
+    outcomes = {**state.releases_by_name, outcome.name: outcome}
+    state = dataclasses.replace(state, releases_by_name=outcomes)
+    if len(outcomes) > RELEASES_KEPT + RELEASES_BATCH:
+        return _forget(state)
+    return state
+
+
+def refusal(state: tables.Agreed, record: records.ReleaseRecord) -> str:
+    """Return why a release would be refused; empty if it would not.
+
+    The reason begins with the JSON path of the place in the release.
+    """
+    note = record.note
+    found = itertools.chain(
+        _notes.problems(note),
+        _outdated(state, record),
+        _conflicts(state, record),
+        _misplaced(state.snapshot, note),
+        _moving(state.snapshot, note),
+        _dangling(state.snapshot, note),
+    )
+    return next((str(problem) for problem in found), "")
+
+
+def item_keys(note: _notes.ReleaseNote) -> tuple[str, ...]:
+    """Return the keys of all items that a release touches, sorted."""
+    return tuple(sorted({key for _, key in _notes.keys(note)}))
+
+
+def forgotten(state: tables.Agreed, name: str) -> bool:
+    """Tell whether an earlier release had this name, its outcome gone."""
+    code = _name_code(name)
+    return any(code in batch for batch in state.forgotten_names)
+
+
+def _name_code(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _retries(
+    known: tables.ReleaseOutcome, record: records.ReleaseRecord
+) -> bool:
+    refused = known.state is tables.ReleaseState.REFUSED
+    return refused and record.read_to > known.offset
+
+
+def _outdated(
+    state: tables.Agreed, record: records.ReleaseRecord
+) -> abc.Iterator[_files.Problem]:
+    if forgotten(state, record.note.name):
+        reason = "an earlier release had this name; its outcome is not kept"
+        yield _files.Problem(path="$.name", reason=reason)
+    if record.read_to <= state.forgotten_to:
+        reason = f"it was written before offset {state.forgotten_to}"
+        yield _files.Problem(path="$", reason=f"{reason}; publish it again")
+
+
+def _conflicts(
+    state: tables.Agreed, record: records.ReleaseRecord
+) -> abc.Iterator[_files.Problem]:
+    for path, key in _notes.keys(record.note):
+        current = state.item_offsets_by_key.get(key, tables.NO_OFFSET)
+        seen = record.seen.get(key, tables.NO_OFFSET)
+        dropped = current == tables.NO_OFFSET and seen <= state.forgotten_to
+        if current != seen and not dropped:
+            by = _changed_by(state, current)
+            reason = f"{key} was changed meanwhile, at offset {current}{by}"
+            yield _files.Problem(path=path, reason=reason)
+
+
+def _changed_by(state: tables.Agreed, offset: int) -> str:
+    for outcome in state.releases_by_name.values():
+        if outcome.offset == offset:
+            return f", by release {outcome.name}"
+    return ""
+
+
+def _misplaced(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Iterator[_files.Problem]:
+    there = {f"service/{name}" for name in old.services_by_name}
+    there |= {f"route/{prefix}" for prefix in old.routes_by_prefix}
+    for path, key in _notes.keys(note):
+        if key.startswith("shares/"):
+            continue
+        if path.startswith("$.add.") and key in there:
+            reason = f"{key} exists and cannot be added"
+            yield _files.Problem(path=path, reason=reason)
+        if not path.startswith("$.add.") and key not in there:
+            yield _files.Problem(path=path, reason=f"{key} does not exist")
+
+
+def _moving(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Iterator[_files.Problem]:
+    running = running_by_service(old)
+    for index, name in enumerate(note.withdraw.services):
+        if name in running:
+            move = running[name].rollout_id
+            yield _files.Problem(
+                path=f"$.withdraw.services[{index}]",
+                reason=f"service/{name} has the running move {move}",
+            )
+
+
+def running_by_service(
+    snapshot: tables.Snapshot,
+) -> abc.Mapping[str, tables.Rollout]:
+    """Return the running rollout of each service that has one."""
+    return {
+        rollout.service: rollout
+        for rollout in snapshot.rollouts_by_id.values()
+        if rollout.state is tables.RolloutState.RUNNING
+    }
+
+
+def _dangling(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Iterator[_files.Problem]:
+    services = set(old.services_by_name)
+    services |= {item.name for item in note.add.services}
+    services -= set(note.withdraw.services)
+    named = _named_services(old, note)
+    for path, user, service in named:
+        if service not in services:
+            reason = f"{user} names the unknown service {service}"
+            yield _files.Problem(path=path, reason=reason)
+
+
+def _named_services(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Iterator[tuple[str, str, str]]:
+    touched = set(note.withdraw.routes)
+    for part, items in (("add", note.add), ("change", note.change)):
+        for index, route in enumerate(items.routes):
+            touched.add(route.prefix)
+            path = f"$.{part}.routes[{index}].service"
+            yield path, f"route/{route.prefix}", route.service
+    for index, share in enumerate(note.shares):
+        yield f"$.shares[{index}].service", "the item", share.service
+    for prefix, kept in sorted(old.routes_by_prefix.items()):
+        if prefix not in touched:
+            yield "$.withdraw.services", f"route/{prefix}", kept.service
+
+
+def _accept(
+    state: tables.Agreed, offset: int, record: records.ReleaseRecord
+) -> tables.Agreed:
+    items = dict(state.item_offsets_by_key)
+    for key in item_keys(record.note):
+        items[key] = offset
+    return dataclasses.replace(
+        state,
+        snapshot=_snapshot(state.snapshot, offset, record),
+        item_offsets_by_key=items,
+    )
+
+
+def _snapshot(
+    old: tables.Snapshot, offset: int, record: records.ReleaseRecord
+) -> tables.Snapshot:
+    note = record.note
+    shares = dict(old.shares_by_service)
+    moves = dict(old.rollouts_by_id)
+    for item in note.shares:
+        _share(shares, moves, offset, record, item)
+    for name in note.withdraw.services:
+        shares.pop(name, None)
+    return dataclasses.replace(
+        old,
+        version=offset + 1,
+        services_by_name=_services(old, note),
+        routes_by_prefix=_routes(old, note),
+        shares_by_service=shares,
+        rollouts_by_id=_without_oldest(moves),
+        blocked=frozenset(
+            key
+            for key in old.blocked
+            if key.rpartition("/")[0] not in note.withdraw.services
+        ),
+    )
+
+
+def _services(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Mapping[str, tables.Service]:
+    services = dict(old.services_by_name)
+    for service in note.add.services + note.change.services:
+        services[service.name] = tables.Service(name=service.name)
+    for name in note.withdraw.services:
+        services.pop(name, None)
+    return services
+
+
+def _routes(
+    old: tables.Snapshot, note: _notes.ReleaseNote
+) -> abc.Mapping[str, tables.Route]:
+    routes = dict(old.routes_by_prefix)
+    for route in note.add.routes + note.change.routes:
+        routes[route.prefix] = tables.Route(
+            prefix=route.prefix,
+            service=route.service,
+            timeout_ms=route.timeout_ms,
+            idempotent=route.idempotent,
+        )
+    for prefix in note.withdraw.routes:
+        routes.pop(prefix, None)
+    return routes
+
+
+def _share(
+    shares: dict[str, tables.Shares],
+    moves: dict[str, tables.Rollout],
+    offset: int,
+    record: records.ReleaseRecord,
+    item: _notes.ShareItem,
+) -> None:
+    for rollout in moves.values():
+        running = rollout.state is tables.RolloutState.RUNNING
+        if rollout.service == item.service and running:
+            moves[rollout.rollout_id] = dataclasses.replace(
+                rollout,
+                state=tables.RolloutState.ROLLED_BACK,
+                reason=f"taken back by release {record.note.name}",
+            )
+            shares[item.service] = tables.Shares(
+                service=item.service, percent_by_version=rollout.start
+            )
+    started = rollouts.begin(shares, offset, record, item)
+    current = shares.get(item.service)
+    if current and dict(current.percent_by_version) == dict(started.goal):
+        started = dataclasses.replace(
+            started,
+            state=tables.RolloutState.DONE,
+            reason="the shares are these already",
+        )
+    moves[started.rollout_id] = started
+    if started.state is tables.RolloutState.DONE:
+        shares[item.service] = tables.Shares(
+            service=item.service, percent_by_version=started.goal
+        )
+
+
+def _without_oldest(
+    moves: abc.Mapping[str, tables.Rollout],
+) -> abc.Mapping[str, tables.Rollout]:
+    ended = [
+        rollout
+        for rollout in moves.values()
+        if rollout.state is not tables.RolloutState.RUNNING
+    ]
+    surplus = len(ended) - ENDED_ROLLOUTS_KEPT
+    if surplus <= 0:
+        return moves
+    ended.sort(key=lambda item: (item.offset, item.rollout_id))
+    gone = {rollout.rollout_id for rollout in ended[:surplus]}
+    return {name: row for name, row in moves.items() if name not in gone}
+
+
+def _forget(state: tables.Agreed) -> tables.Agreed:
+    outcomes = sorted(
+        state.releases_by_name.values(), key=lambda item: item.offset
+    )
+    gone, kept = outcomes[:-RELEASES_KEPT], outcomes[-RELEASES_KEPT:]
+    forgotten_to = gone[-1].offset
+    names = frozenset(_name_code(item.name) for item in gone)
+    batches = (*state.forgotten_names, names)[-FORGOTTEN_BATCHES:]
+    present = _present(state.snapshot)
+    return dataclasses.replace(
+        state,
+        releases_by_name={item.name: item for item in kept},
+        forgotten_to=forgotten_to,
+        forgotten_names=batches,
+        item_offsets_by_key={
+            key: offset
+            for key, offset in state.item_offsets_by_key.items()
+            if key in present or offset > forgotten_to
+        },
+    )
+
+
+def _present(snapshot: tables.Snapshot) -> frozenset[str]:
+    return frozenset(
+        [f"service/{name}" for name in snapshot.services_by_name]
+        + [f"route/{prefix}" for prefix in snapshot.routes_by_prefix]
+        + [f"shares/{name}" for name in snapshot.shares_by_service]
+    )
--- a/src/arbutusstall/_notes.py
+++ b/src/arbutusstall/_notes.py
@@ -1,8 +1,10 @@
 """Release files: their form, decoding and checks."""
 
+from collections import abc
 import dataclasses
 import datetime
 import pathlib
+import re
 
 import msgspec
 import xxhash
@@ -68,6 +70,13 @@
     shares: tuple[ShareItem, ...] = ()
 
 
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+_NAME_RULE = (
+    "a name has 1 to 100 letters, digits, dots, dashes and underscores"
+)
+_PREFIX = re.compile(r"/[!-~]{0,199}")
+_PREFIX_RULE = "a prefix is / and up to 199 printable ASCII characters"
+_MAX_TIMEOUT_MS = 3_600_000
 _MAX_SUM_ERROR = 1e-6
 _FULL_PERCENT = 100.0
 
@@ -78,8 +87,18 @@
     Raises:
         InvalidFile: The file is missing, malformed or fails a check.
     """
-    note = _files.load(path, ReleaseNote)
-    _check(note, str(path))
+    return decode(_files.read(path), str(path))
+
+
+def decode(data: bytes, name: str) -> ReleaseNote:
+    """Decode and check the content of the release file ``name``.
+
+    Raises:
+        InvalidFile: As for `load`.
+    """
+    note = _files.decode(data, ReleaseNote, name)
+    for problem in problems(note):
+        raise _files.invalid(name, problem.path, problem.reason)
     return note
 
 
@@ -101,22 +120,81 @@
             )
 
 
-def _check(note: ReleaseNote, name: str) -> None:
-    if not note.name:
-        raise _files.invalid(name, "$.name", "the name is empty")
-    for index, item in enumerate(note.shares):
-        _check_share(item, name, f"$.shares[{index}]")
-
-
-def _check_share(item: ShareItem, name: str, path: str) -> None:
+def problems(note: ReleaseNote) -> abc.Iterator[_files.Problem]:
+    """Yield what is wrong with a release by itself."""
+    if not _NAME.fullmatch(note.name):
+        yield _files.Problem(path="$.name", reason=_NAME_RULE)
+    if note == ReleaseNote(name=note.name):
+        yield _files.Problem(path="$", reason="the release changes nothing")
+    yield from _item_problems(note)
+    yield from _repetitions(note)
+    for index, share in enumerate(note.shares):
+        yield from _share_problems(share, f"$.shares[{index}]")
+
+
+def _item_problems(note: ReleaseNote) -> abc.Iterator[_files.Problem]:
+    for part, items in (("add", note.add), ("change", note.change)):
+        for index, service in enumerate(items.services):
+            if not _NAME.fullmatch(service.name):
+                path = f"$.{part}.services[{index}].name"
+                yield _files.Problem(path=path, reason=_NAME_RULE)
+        for index, route in enumerate(items.routes):
+            yield from _route_problems(route, f"$.{part}.routes[{index}]")
+
+
+def _route_problems(
+    route: RouteItem, path: str
+) -> abc.Iterator[_files.Problem]:
+    if not _PREFIX.fullmatch(route.prefix):
+        yield _files.Problem(path=f"{path}.prefix", reason=_PREFIX_RULE)
+    if not _NAME.fullmatch(route.service):
+        yield _files.Problem(path=f"{path}.service", reason=_NAME_RULE)
+    if not 0 < route.timeout_ms <= _MAX_TIMEOUT_MS:
+        yield _files.Problem(
+            path=f"{path}.timeout_ms",
+            reason=f"{route.timeout_ms} is not in 1..{_MAX_TIMEOUT_MS}",
+        )
+
+
+def _repetitions(note: ReleaseNote) -> abc.Iterator[_files.Problem]:
+    seen: set[str] = set()
+    for path, key in keys(note):
+        if key in seen:
+            yield _files.Problem(path=path, reason=f"{key} is named twice")
+        seen.add(key)
+
+
+def keys(note: ReleaseNote) -> abc.Iterator[tuple[str, str]]:
+    """Yield the JSON path and the key of each item that is touched."""
+    for part, items in (("add", note.add), ("change", note.change)):
+        for index, service in enumerate(items.services):
+            yield f"$.{part}.services[{index}]", f"service/{service.name}"
+        for index, route in enumerate(items.routes):
+            yield f"$.{part}.routes[{index}]", f"route/{route.prefix}"
+    for index, name in enumerate(note.withdraw.services):
+        yield f"$.withdraw.services[{index}]", f"service/{name}"
+    for index, prefix in enumerate(note.withdraw.routes):
+        yield f"$.withdraw.routes[{index}]", f"route/{prefix}"
+    for index, share in enumerate(note.shares):
+        yield f"$.shares[{index}].service", f"shares/{share.service}"
+
+
+def _share_problems(
+    item: ShareItem, path: str
+) -> abc.Iterator[_files.Problem]:
     where = f"{path}.percent_by_version"
     for version, percent in item.percent_by_version.items():
+        if not _NAME.fullmatch(version):
+            yield _files.Problem(path=where, reason=_NAME_RULE)
         if not 0 <= percent <= _FULL_PERCENT:
-            raise _files.invalid(
-                name, f"{where}.{version}", f"{percent} is not in 0..100"
+            yield _files.Problem(
+                path=f"{where}.{version}",
+                reason=f"{percent} is not in 0..100",
             )
     total = sum(item.percent_by_version.values())
-    if abs(total - _FULL_PERCENT) > _MAX_SUM_ERROR:
-        raise _files.invalid(name, where, f"the sum is {total}, not 100")
+    if not abs(total - _FULL_PERCENT) <= _MAX_SUM_ERROR:
+        yield _files.Problem(path=where, reason=f"the sum is {total}, not 100")
+    if not _NAME.fullmatch(item.service):
+        yield _files.Problem(path=f"{path}.service", reason=_NAME_RULE)
     if item.by is not None and item.by.tzinfo is None:
-        raise _files.invalid(name, f"{path}.by", "the time has no zone")
+        yield _files.Problem(path=f"{path}.by", reason="the time has no zone")
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -1,10 +1,38 @@
 """Settings of a node, decoded from JSON into frozen data classes."""
 
+from collections import abc
 import dataclasses
+import ipaddress
 import pathlib
+import re
+from typing import Any
 
 from arbutusstall import _files
 
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+_ID_RULE = "an id has 1 to 100 letters, digits, dots, dashes, underscores"
+_URL = re.compile(r"https?://[!-~]{1,200}")
+_URL_RULE = "the URL does not start with http:// or https://"
+_ADDRESS_RULE = "an address is IP:PORT with a port in 1..65535"
+_PORT_DIGITS = 5
+_MAX_PORT = 65_535
+_MAX_NUMBER = 1e9
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+_POSITIVE_SUFFIXES = ("_s", "_ms", "_bytes")
+_ZERO_ALLOWED = frozenset({"hold_s", "patience_s", "warm_up_s", "watch_s"})
+_POSITIVE = frozenset(
+    {
+        "chunks_at_once",
+        "connections",
+        "every_records",
+        "fan_out",
+        "first_percent",
+        "pending_appends",
+        "roots",
+        "slots",
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AddressSettings:
@@ -25,11 +53,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LogSettings:
-    """How to reach the platform log; times in seconds."""
+    """How to reach the platform log; times in seconds.
+
+    Attributes:
+        poll_s: Longest wait of a read for the next record.
+        append_bound_s: How long an append is repeated.
+        pending_appends: Records that wait to be appended at most.
+    """
 
     url: str
     request_timeout_s: float = 2.0
     poll_s: float = 10.0
+    retry_base_s: float = 0.05
+    retry_cap_s: float = 2.0
+    append_bound_s: float = 60.0
+    pending_appends: int = 256
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +78,26 @@
     expire_s: float = 4.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckpointSettings:
+    """When the leader puts a checkpoint on the log.
+
+    Attributes:
+        every_s: Age of the newest one in seconds; at most a third of
+            the time for which the log keeps records.
+        every_records: Records after the newest one.
+        chunk_bytes: Largest part of a checkpoint in one record.
+        chunk_s: Time between groups of chunks in seconds.
+        chunks_at_once: Chunks in one group.
+    """
+
+    every_s: float = 600.0
+    every_records: int = 20_000
+    chunk_bytes: int = 48 * 1024
+    chunk_s: float = 0.5
+    chunks_at_once: int = 4
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RelaySettings:
     """Shape and times of the distribution tree; times in seconds."""
@@ -88,6 +146,7 @@
     region: str = "main"
     seeds: tuple[str, ...] = ()
     lease: LeaseSettings = LeaseSettings()
+    checkpoint: CheckpointSettings = CheckpointSettings()
     relay: RelaySettings = RelaySettings()
     rollout: RolloutSettings = RolloutSettings()
     calls: CallSettings = CallSettings()
@@ -101,4 +160,127 @@
     Raises:
         InvalidFile: The file is missing, malformed or fails a check.
     """
-    return _files.load(path, NodeSettings)
+    return decode(_files.read(path), str(path))
+
+
+def decode(data: bytes, name: str) -> NodeSettings:
+    """Decode and check the content of the settings file ``name``.
+
+    Raises:
+        InvalidFile: As for `load`.
+    """
+    settings = _files.decode(data, NodeSettings, name)
+    for problem in problems(settings):
+        raise _files.invalid(name, problem.path, problem.reason)
+    return settings
+
+
+def load_log(path: pathlib.Path) -> LogSettings:
+    """Read and check a file of `LogSettings` at ``path``.
+
+    Raises:
+        InvalidFile: As for `load`.
+    """
+    settings = _files.load(path, LogSettings)
+    if not is_url(settings.url):
+        raise _files.invalid(str(path), "$.url", _URL_RULE)
+    for problem in _number_problems(settings, "$"):
+        raise _files.invalid(str(path), problem.path, problem.reason)
+    return settings
+
+
+def is_url(text: str) -> bool:
+    """Tell whether ``text`` is an HTTP URL without blanks."""
+    return _URL.fullmatch(text) is not None
+
+
+def problems(settings: NodeSettings) -> abc.Iterator[_files.Problem]:
+    """Yield what is wrong with settings of the right types."""
+    for name in ("node", "data_centre", "region"):
+        if not _ID.fullmatch(getattr(settings, name)):
+            yield _files.Problem(path=f"$.{name}", reason=_ID_RULE)
+    yield from _address_problems(settings)
+    yield from _number_problems(settings, "$")
+    if not is_url(settings.log.url):
+        yield _files.Problem(path="$.log.url", reason=_URL_RULE)
+    if settings.log_level not in _LEVELS:
+        reason = f"the level is none of {', '.join(_LEVELS)}"
+        yield _files.Problem(path="$.log_level", reason=reason)
+    for path, lower, upper in (
+        (
+            "$.lease.expire_s",
+            2 * settings.lease.renew_s,
+            settings.lease.expire_s,
+        ),
+        (
+            "$.log.retry_cap_s",
+            settings.log.retry_base_s,
+            settings.log.retry_cap_s,
+        ),
+        (
+            "$.relay.retry_cap_s",
+            settings.relay.retry_base_s,
+            settings.relay.retry_cap_s,
+        ),
+        (
+            "$.relay.expire_s",
+            settings.relay.refresh_s,
+            settings.relay.expire_s,
+        ),
+    ):
+        if upper < lower:
+            reason = f"{upper} is below {lower}, which depends on it"
+            yield _files.Problem(path=path, reason=reason)
+
+
+def _address_problems(
+    settings: NodeSettings,
+) -> abc.Iterator[_files.Problem]:
+    addresses = settings.addresses
+    named = [
+        (f"$.addresses.{item.name}", str(getattr(addresses, item.name)))
+        for item in dataclasses.fields(addresses)
+    ]
+    seen: set[str] = set()
+    for path, address in named:
+        if not _is_address(address):
+            yield _files.Problem(path=path, reason=_ADDRESS_RULE)
+        if address in seen:
+            yield _files.Problem(path=path, reason=f"{address} is used twice")
+        seen.add(address)
+    for index, seed in enumerate(settings.seeds):
+        if not _is_address(seed):
+            path = f"$.seeds[{index}]"
+            yield _files.Problem(path=path, reason=_ADDRESS_RULE)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    digits = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+    return digits and 0 < int(port) <= _MAX_PORT
+
+
+def _number_problems(value: Any, path: str) -> abc.Iterator[_files.Problem]:
+    for field in dataclasses.fields(value):
+        inner = getattr(value, field.name)
+        where = f"{path}.{field.name}"
+        if dataclasses.is_dataclass(inner):
+            yield from _number_problems(inner, where)
+        elif isinstance(inner, int | float) and not isinstance(inner, bool):
+            reason = _number_problem(field.name, inner)
+            if reason:
+                yield _files.Problem(path=where, reason=reason)
+
+
+def _number_problem(name: str, value: float) -> str:
+    positive = name in _POSITIVE or name.endswith(_POSITIVE_SUFFIXES)
+    if positive and name not in _ZERO_ALLOWED:
+        return "" if 0 < value <= _MAX_NUMBER else f"{value} is not above 0"
+    limit = 100.0 if name.endswith("percent") else _MAX_NUMBER
+    if not 0 <= value <= limit:
+        return f"{value} is not in 0..{limit:g}"
+    return ""
--- a/src/arbutusstall/_shell/log_client.py
+++ b/src/arbutusstall/_shell/log_client.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from typing import TypeVar
 
 import msgspec
 
@@ -15,6 +16,11 @@
 from arbutusstall import errors
 from arbutusstall._shell import http
 
+_OK = 200
+_TOO_MANY = 429
+
+T = TypeVar("T")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Entry:
@@ -51,7 +57,7 @@
             ),
             step="log.append",
         )
-        return msgspec.json.decode(body, type=_AppendAnswer).offset
+        return self._decode(body, _AppendAnswer, "log.append").offset
 
     def read(self, offset: int, wait_s: float) -> _effects.LogRead:
         """Return the entries from ``offset`` on; see `LogClient`."""
@@ -65,7 +71,7 @@
             ),
             step="log.read",
         )
-        answer = msgspec.json.decode(body, type=_ReadAnswer)
+        answer = self._decode(body, _ReadAnswer, "log.read")
         return _effects.LogRead(
             entries=tuple(
                 _effects.LogEntry(
@@ -77,6 +83,14 @@
             next_offset=answer.next_offset,
         )
 
+    def _decode(self, body: bytes, kind: type[T], step: str) -> T:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise errors.LogUnavailable(
+                step=step, peer=self._settings.url, reason=f"answer: {exc}"
+            ) from exc
+
     def _request(self, request: http.Request, step: str) -> bytes:
         try:
             response = http.send(request)
@@ -84,7 +98,11 @@
             raise errors.LogUnavailable(
                 step=step, peer=self._settings.url, reason=exc.reason
             ) from exc
-        if response.status != 200:
+        if response.status == _TOO_MANY:
+            raise errors.LogOverloaded(
+                step=step, peer=self._settings.url, reason="over its rate"
+            )
+        if response.status != _OK:
             raise errors.LogUnavailable(
                 step=step,
                 peer=self._settings.url,
--- a/src/arbutusstall/_shell/log_worker.py
+++ b/src/arbutusstall/_shell/log_worker.py
@@ -1,17 +1,20 @@
 """Threads that read and append to the platform log."""
 
 from concurrent import futures
+import random
 import threading
-import time
 
+from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._log import client
+from arbutusstall._log import pending
 from arbutusstall._log import records
 from arbutusstall._shell import control
 
-_RETRY_S = 0.25
+_APPENDERS = 2
+_MAX_EXPONENT = 16
 
 
 class LogWorker:
@@ -22,11 +25,25 @@
         log: client.LogClient,
         settings: _settings.LogSettings,
         loop: control.ControlLoop,
+        clock: _clock.Clock | None = None,
     ) -> None:
         self._log = log
         self._settings = settings
         self._loop = loop
-        self._appends = futures.ThreadPoolExecutor(max_workers=2)
+        self._clock = clock or _clock.SystemClock()
+        self._rng = random.Random()
+        self._pending = pending.PendingAppends(
+            limit=settings.pending_appends,
+            bound_s=settings.append_bound_s,
+            base_s=settings.retry_base_s,
+            cap_s=settings.retry_cap_s,
+            rng=self._rng,
+        )
+        self._changed = threading.Condition()
+        self._stopped = False
+        self._appenders = futures.ThreadPoolExecutor(max_workers=_APPENDERS)
+        for _ in range(_APPENDERS):
+            self._appenders.submit(self._append_all)
         self._stop_reading = threading.Event()
         self._reader: threading.Thread | None = None
 
@@ -46,29 +63,82 @@
         self._stop_reading.set()
 
     def append(self, effect: _effects.Append) -> None:
-        """Append a record in the background, once."""
-        self._appends.submit(self._append, effect.record)
+        """Append a record in the background until it is answered."""
+        with self._changed:
+            taken = self._pending.add(effect.record, self._now_s())
+            self._changed.notify()
+        if not taken:
+            self._give_up(effect.record, "too many appends are pending")
+
+    def stop(self) -> None:
+        """End all threads after their current requests."""
+        self._stop_reading.set()
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
+        self._appenders.shutdown(wait=False)
+
+    def _append_all(self) -> None:
+        while True:
+            item = self._next()
+            if item is None:
+                return
+            self._append(item)
+
+    def _next(self) -> pending.PendingAppend | None:
+        with self._changed:
+            while not self._stopped:
+                item = self._pending.take(self._now_s())
+                if item is not None:
+                    return item
+                self._changed.wait(self._pending.wait_s(self._now_s()))
+        return None
 
-    def _append(self, record: records.Record) -> None:
+    def _append(self, item: pending.PendingAppend) -> None:
+        record = item.record
         try:
             offset = self._log.append(records.encode(record))
         except errors.LogUnavailable as exc:
-            self._loop.put(
-                _effects.LogFailed(reason=exc.reason, record=record)
-            )
+            with self._changed:
+                kept = self._pending.failed(item, self._now_s())
+                self._changed.notify()
+            if not kept:
+                self._give_up(record, exc.reason)
             return
+        with self._changed:
+            self._pending.answered(item)
         self._loop.put(_effects.Appended(offset=offset, record=record))
 
+    def _give_up(self, record: records.Record, reason: str) -> None:
+        self._loop.put(_effects.LogFailed(reason=reason, record=record))
+
     def _read(self, offset: int, stop: threading.Event) -> None:
         wait_s = 0.0
+        failures = 0
         while not stop.is_set():
             try:
                 answer = self._log.read(offset, wait_s)
             except errors.LogUnavailable as exc:
                 self._loop.put(_effects.LogFailed(reason=exc.reason))
-                time.sleep(_RETRY_S)
+                stop.wait(self._back_off_s(failures))
+                failures += 1
                 continue
+            failures = 0
             wait_s = self._settings.poll_s
-            if answer.entries:
-                offset = answer.entries[-1].offset + 1
+            offset = _after(offset, answer)
             self._loop.put(answer)
+
+    def _back_off_s(self, failures: int) -> float:
+        settings = self._settings
+        top_s = settings.retry_base_s * 2.0 ** min(failures, _MAX_EXPONENT)
+        return self._rng.uniform(0.0, min(settings.retry_cap_s, top_s))
+
+    def _now_s(self) -> float:
+        return self._clock.now().mono_s
+
+
+def _after(offset: int, answer: _effects.LogRead) -> int:
+    if answer.entries:
+        return answer.entries[-1].offset + 1
+    # Everything from ``offset`` on has expired meanwhile.
+    return max(offset, min(answer.first_kept, answer.next_offset))
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -82,5 +82,6 @@
         self._inbound.stop(_GRACE_S)
         self._callers.stop()
         self._loop.stop()
+        self._log_worker.stop()
         self._relay.stop()
         self._log.emit("node-stopped")
--- a/src/arbutusstall/_systems/agreement.py
+++ b/src/arbutusstall/_systems/agreement.py
@@ -1,11 +1,12 @@
 """Folds what the log holds into the agreed state."""
 
+from collections import abc
+
 from arbutusstall import _clock
 from arbutusstall import _effects
-from arbutusstall import errors
-from arbutusstall._log import fold
-from arbutusstall._log import records
+from arbutusstall._systems import checkpoint
 from arbutusstall._systems import distribution
+from arbutusstall._tables import agreed
 from arbutusstall._tables import node
 
 
@@ -13,43 +14,98 @@
     tables: node.Tables, event: _effects.LogRead, now: _clock.Instant
 ) -> list[_effects.Effect]:
     """Apply the entries of one log read."""
-    effects: list[_effects.Effect] = []
     before = tables.agreed
-    for entry in event.entries:
-        if entry.offset < tables.agreed.offset:
-            continue
-        effects += _apply(tables, entry)
-    if tables.agreed.lease.renewed != tables.lease_seen_offset:
-        tables.lease_seen_offset = tables.agreed.lease.renewed
-        tables.lease_seen_s = now.mono_s
-    tables.caught_up = tables.agreed.offset >= event.next_offset
+    effects = _fold(tables, event)
+    tables.agreed = tables.follower.state
+    tables.caught_up = tables.follower.caught_up(event.next_offset)
+    _note_lease(tables, now)
+    if event.next_offset < before.offset and not tables.log_behind:
+        effects.append(
+            _effects.Emit(
+                event="log-behind",
+                fields={"offset": before.offset, "next": event.next_offset},
+            )
+        )
+    tables.log_behind = event.next_offset < before.offset
     effects += _report(before.releases_by_name, tables)
     if tables.agreed.snapshot.version > tables.snapshot.version:
         effects += distribution.adopt(tables, tables.agreed.snapshot, now)
     return effects
 
 
-def _apply(
-    tables: node.Tables, entry: _effects.LogEntry
+def on_failed(
+    tables: node.Tables, event: _effects.LogFailed, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    try:
-        record = records.decode(entry.data)
-    except errors.WireError as exc:
-        tables.agreed = fold.skip(tables.agreed, entry.offset)
+    """Note an outage of the log, or a record that was given up."""
+    if event.record is not None:
         return [
             _effects.Emit(
-                event="record-skipped",
-                fields={"offset": entry.offset, "reason": exc.reason},
+                event="append-given-up",
+                fields={
+                    "record": event.record.record_id,
+                    "reason": event.reason,
+                },
             )
         ]
-    tables.agreed = fold.apply(tables.agreed, entry.offset, record)
-    return []
+    if tables.log_failing:
+        return []
+    tables.log_failing = True
+    return [
+        _effects.Emit(event="log-failing", fields={"reason": event.reason})
+    ]
+
 
+def _fold(
+    tables: node.Tables, event: _effects.LogRead
+) -> list[_effects.Effect]:
+    effects: list[_effects.Effect] = []
+    for entry in event.entries:
+        begun = tables.follower.state.begun
+        one = _effects.LogRead(
+            entries=(entry,),
+            first_kept=event.first_kept,
+            next_offset=event.next_offset,
+        )
+        for step in tables.follower.read(one):
+            effects.append(
+                _effects.Emit(
+                    event=step.event,
+                    fields={"offset": step.offset, "reason": step.reason},
+                )
+            )
+        state = tables.follower.state
+        if state.begun is not begun:
+            checkpoint.on_begun(tables, state)
+    if not event.entries:
+        tables.follower.read(event)
+    return effects
 
-def _report(before: object, tables: node.Tables) -> list[_effects.Effect]:
+
+def _note_lease(tables: node.Tables, now: _clock.Instant) -> None:
+    lease = tables.agreed.lease
+    if tables.log_failing:
+        # The holder could not renew either: it gets a whole term anew.
+        tables.log_failing = False
+        tables.lease_seen_s = now.mono_s
+    if lease.renewed == tables.lease_seen_offset:
+        return
+    tables.lease_seen_offset = lease.renewed
+    tables.lease_seen_s = now.mono_s
+    sent_s = tables.lease_sent_s_by_record_id.get(lease.renewed_by)
+    tables.lease_held_from_s = sent_s
+    if sent_s is not None:
+        tables.lease_sent_s_by_record_id = {
+            name: value
+            for name, value in tables.lease_sent_s_by_record_id.items()
+            if value >= sent_s
+        }
+
+
+def _report(
+    before: abc.Mapping[str, agreed.ReleaseOutcome], tables: node.Tables
+) -> list[_effects.Effect]:
     if before is tables.agreed.releases_by_name:
         return []
-    assert isinstance(before, dict)
     return [
         _effects.Emit(
             event=f"release-{outcome.state.value}",
--- /dev/null
+++ b/src/arbutusstall/_systems/checkpoint.py
@@ -0,0 +1,78 @@
+"""Puts checkpoints on the log before the records they replace expire."""
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._log import checkpoint
+from arbutusstall._log import records
+from arbutusstall._systems import lease
+from arbutusstall._tables import agreed
+from arbutusstall._tables import node
+
+
+def on_begun(tables: node.Tables, state: agreed.Agreed) -> None:
+    """Keep the state that a checkpoint of the own lease is made of."""
+    begun = state.begun
+    if begun is None or state.lease.holder != tables.member.node:
+        return
+    if begun.accepted == 0:
+        tables.checkpoint_state = state
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Begin a checkpoint that is due, or append what it lacks."""
+    if not lease.is_leader(tables, now):
+        return []
+    if now.mono_s < tables.next_checkpoint_s:
+        return []
+    begun = tables.agreed.begun
+    if begun is not None and begun.lease == tables.agreed.lease.offset:
+        return _next_chunks(tables, begun, now)
+    if not _due(tables, now):
+        return []
+    tables.next_checkpoint_s = now.mono_s + tables.settings.lease.expire_s
+    return [_begin(tables, now)]
+
+
+def _due(tables: node.Tables, now: _clock.Instant) -> bool:
+    newest = tables.agreed.checkpoint
+    if newest is None:
+        return True
+    policy = tables.settings.checkpoint
+    return (
+        now.wall_s - newest.made_s >= policy.every_s
+        or tables.agreed.offset - newest.through >= policy.every_records
+    )
+
+
+def _begin(tables: node.Tables, now: _clock.Instant) -> _effects.Append:
+    newest = tables.agreed.begun or tables.agreed.checkpoint
+    made_s = max(now.wall_s, newest.made_s + 0.001 if newest else 0.0)
+    record_id = (
+        f"checkpoint/{tables.member.node}/{tables.member.incarnation}/"
+        f"{tables.agreed.offset}"
+    )
+    return _effects.Append(
+        record=records.CheckpointBegin(
+            record_id=record_id,
+            lease=tables.agreed.lease.offset,
+            made_s=made_s,
+        )
+    )
+
+
+def _next_chunks(
+    tables: node.Tables, begun: agreed.Checkpoint, now: _clock.Instant
+) -> list[_effects.Effect]:
+    policy = tables.settings.checkpoint
+    state = tables.checkpoint_state
+    if state is None or state.offset != begun.through:
+        return []
+    chunks = checkpoint.chunks(state, policy.chunk_bytes)
+    missing = [
+        chunk for chunk in chunks if not begun.accepted >> chunk.index & 1
+    ]
+    tables.next_checkpoint_s = now.mono_s + policy.chunk_s
+    return [
+        _effects.Append(record=chunk)
+        for chunk in missing[: policy.chunks_at_once]
+    ]
--- a/src/arbutusstall/_systems/lease.py
+++ b/src/arbutusstall/_systems/lease.py
@@ -9,14 +9,16 @@
 def is_leader(tables: node.Tables, now: _clock.Instant) -> bool:
     """Tell whether this node may decide now.
 
-    The answer may be outdated; the fold refuses decisions that were
-    made under a replaced lease.
+    The term is counted from the time at which the claim or renewal was
+    sent. The answer may still be outdated when the decision arrives;
+    the fold refuses decisions that were made under a replaced lease.
     """
-    age_s = now.mono_s - tables.lease_seen_s
+    held_from_s = tables.lease_held_from_s
     return (
         tables.is_root
+        and held_from_s is not None
         and tables.agreed.lease.holder == tables.member.node
-        and age_s < tables.settings.lease.expire_s
+        and now.mono_s - held_from_s < tables.settings.lease.expire_s
     )
 
 
@@ -26,26 +28,42 @@
         return []
     if now.mono_s < tables.next_renewal_s:
         return []
-    tables.next_renewal_s = now.mono_s + tables.settings.lease.renew_s
-    lease = tables.agreed.lease
-    name = f"{tables.member.node}/{now.mono_s:.3f}"
+    policy = tables.settings.lease
+    tables.next_renewal_s = now.mono_s + policy.renew_s
     if is_leader(tables, now):
-        return [
-            _effects.Append(
-                record=records.LeaseRenewal(
-                    record_id=f"renew/{name}", lease=lease.offset
-                )
-            )
-        ]
+        return [_renewal(tables, now)]
     age_s = now.mono_s - tables.lease_seen_s
-    if lease.holder and age_s < tables.settings.lease.expire_s:
+    if tables.log_failing or (
+        tables.agreed.lease.holder and age_s < policy.expire_s
+    ):
         return []
-    return [
-        _effects.Append(
-            record=records.LeaseClaim(
-                record_id=f"claim/{name}",
-                holder=tables.member.node,
-                replaces=lease.offset,
-            )
-        )
-    ]
+    tables.next_renewal_s += policy.renew_s * tables.rng.random()
+    return [_claim(tables, now)]
+
+
+def _renewal(tables: node.Tables, now: _clock.Instant) -> _effects.Append:
+    lease = tables.agreed.lease
+    tables.lease_sequence = max(tables.lease_sequence, lease.sequence) + 1
+    record = records.LeaseRenewal(
+        record_id=_record_id(tables, "renew"),
+        lease=lease.offset,
+        sequence=tables.lease_sequence,
+    )
+    tables.lease_sent_s_by_record_id[record.record_id] = now.mono_s
+    return _effects.Append(record=record)
+
+
+def _claim(tables: node.Tables, now: _clock.Instant) -> _effects.Append:
+    tables.lease_sequence += 1
+    record = records.LeaseClaim(
+        record_id=_record_id(tables, "claim"),
+        holder=tables.member.node,
+        replaces=tables.agreed.lease.offset,
+    )
+    tables.lease_sent_s_by_record_id[record.record_id] = now.mono_s
+    return _effects.Append(record=record)
+
+
+def _record_id(tables: node.Tables, kind: str) -> str:
+    member = tables.member
+    return f"{kind}/{member.node}/{member.incarnation}/{tables.lease_sequence}"
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -95,11 +95,41 @@
         offset: Log offset of the accepted claim, the fencing token.
         holder: Node id of the leader.
         renewed: Log offset of the newest claim or renewal.
+        renewed_by: Record id of the newest claim or renewal.
+        sequence: Number of the newest renewal; zero for the claim.
     """
 
     offset: int = NO_LEASE
     holder: str = ""
     renewed: int = NO_LEASE
+    renewed_by: str = ""
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Checkpoint:
+    """An encoding of the agreed state that the leader put on the log.
+
+    Attributes:
+        through: Offset of the first record that the state lacks.
+        digest: Hash of the encoded state.
+        lease: Lease under which it was begun.
+        made_s: When it was begun, seconds since the epoch.
+        count: Number of its chunks; zero until the first was folded.
+        accepted: One bit for each chunk that was folded.
+    """
+
+    through: int
+    digest: str
+    lease: int
+    made_s: float
+    count: int = 0
+    accepted: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether all chunks are on the log."""
+        return self.count > 0 and self.accepted == (1 << self.count) - 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -122,6 +152,7 @@
     state: ReleaseState
     reason: str
     offset: int
+    record_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -161,6 +192,13 @@
         item_offsets_by_key: For each configuration item
             (``service/NAME``, ``route/PREFIX``, ``shares/SERVICE``) the
             offset of the record that changed it last.
+        releases_by_name: Outcomes of the newest releases.
+        forgotten_to: Offset of the newest release whose outcome is no
+            longer kept; a release that was written earlier is refused.
+        forgotten_names: Hashes of the names of such releases, in batches,
+            the newest last.
+        begun: The checkpoint whose chunks are still awaited.
+        checkpoint: The newest whole checkpoint.
     """
 
     offset: int = 0
@@ -175,4 +213,7 @@
     roots_by_node: abc.Mapping[str, Root] = dataclasses.field(
         default_factory=dict
     )
-    record_ids: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    forgotten_to: int = NO_OFFSET
+    forgotten_names: tuple[frozenset[int], ...] = ()
+    begun: Checkpoint | None = None
+    checkpoint: Checkpoint | None = None
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -4,6 +4,7 @@
 import random
 
 from arbutusstall import _settings
+from arbutusstall._log import follower as log_follower
 from arbutusstall._tables import agreed as agreed_tables
 from arbutusstall._tables import links
 from arbutusstall._tables import members
@@ -23,7 +24,14 @@
         digest: Digest of ``snapshot``.
         is_root: Whether this node reads the log for its data centre.
         caught_up: Whether the log was read to its end at least once.
-        lease_seen_s: Monotonic time of the last lease claim or renewal.
+        follower: Folds the log into ``agreed``.
+        lease_seen_s: Monotonic time at which the last lease claim or
+            renewal was read.
+        lease_held_from_s: Monotonic time at which it was sent, if this
+            process sent it.
+        log_failing: Whether the last read got no answer.
+        log_behind: Whether the log ends before what was folded.
+        checkpoint_state: State of the last checkpoint begun here.
         blocked: Versions rolled back locally, ``"service/version"``.
     """
 
@@ -49,7 +57,19 @@
         dataclasses.field(default_factory=dict)
     )
     blocked: set[str] = dataclasses.field(default_factory=set)
+    follower: log_follower.Follower = dataclasses.field(
+        default_factory=log_follower.Follower
+    )
     lease_seen_s: float = 0.0
+    lease_held_from_s: float | None = None
+    lease_sequence: int = 0
+    lease_sent_s_by_record_id: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    log_failing: bool = False
+    log_behind: bool = False
+    checkpoint_state: agreed_tables.Agreed | None = None
+    next_checkpoint_s: float = 0.0
     lease_seen_offset: int = agreed_tables.NO_LEASE
     next_renewal_s: float = 0.0
     next_report_s: float = 0.0
--- a/src/arbutusstall/errors.py
+++ b/src/arbutusstall/errors.py
@@ -5,10 +5,12 @@
 __all__ = [
     "ArbutusstallError",
     "InvalidFile",
+    "LogOverloaded",
     "LogUnavailable",
     "NotRun",
     "OutcomeUnknown",
     "PeerUnavailable",
+    "ReleaseRefused",
     "WireError",
 ]
 
@@ -42,6 +44,14 @@
     """The platform log did not answer; an append may have taken effect."""
 
 
+class LogOverloaded(LogUnavailable):
+    """The platform log refused a request over its rate; nothing is stored."""
+
+
+class ReleaseRefused(ArbutusstallError):
+    """A release was not accepted; nothing of it is in force."""
+
+
 class PeerUnavailable(ArbutusstallError):
     """Another node could not be reached, so nothing was sent to it."""
 
--- a/src/arbutusstall/settings.py
+++ b/src/arbutusstall/settings.py
@@ -2,6 +2,7 @@
 
 from arbutusstall._settings import AddressSettings
 from arbutusstall._settings import CallSettings
+from arbutusstall._settings import CheckpointSettings
 from arbutusstall._settings import LeaseSettings
 from arbutusstall._settings import load
 from arbutusstall._settings import LogSettings
@@ -12,6 +13,7 @@
 __all__ = [
     "AddressSettings",
     "CallSettings",
+    "CheckpointSettings",
     "LeaseSettings",
     "LogSettings",
     "NodeSettings",
