--- a/src/arbutusstall/_cli/waiting.py
+++ b/src/arbutusstall/_cli/waiting.py
@@ -15,6 +15,7 @@
 _POLL_S = 0.1
 _REREAD_S = 2.0
 _ROOT_TIMEOUT_S = 2.0
+_MESH = "mesh"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -22,7 +23,7 @@
     """How far a version is.
 
     Attributes:
-        known: Nodes that the reachable roots know.
+        known: Nodes that the first reachable root knows.
         in_force: Those that have the version, or a newer one.
         lacking: Names of some nodes that lack it.
         unreachable: Root nodes that did not answer.
@@ -36,7 +37,7 @@
     @property
     def everywhere(self) -> bool:
         """Whether every node has it."""
-        return self.in_force == self.known > 0 and not self.unreachable
+        return self.in_force == self.known > 0
 
     def line(self) -> str:
         """Return the progress as one line."""
@@ -58,6 +59,7 @@
     version: int
     known: int
     in_force: int
+    scope: str
     lacking: tuple[str, ...] = ()
 
 
@@ -92,22 +94,21 @@
 
 
 def ask(state: agreed.Agreed, version: int) -> Progress:
-    """Ask every root once how far ``version`` is below it."""
+    """Ask the roots how far ``version`` is; each sums up the mesh."""
     progress = Progress()
-    for root in state.roots_by_node.values():
+    for root in state.roots_by_seat.values():
         status = _status(root.admin)
-        if status is None:
+        if status is None or status.scope != _MESH:
             progress = dataclasses.replace(
                 progress, unreachable=(*progress.unreachable, root.node)
             )
             continue
         reached = status.version >= version
-        progress = dataclasses.replace(
+        return dataclasses.replace(
             progress,
-            known=progress.known + status.known,
-            in_force=progress.in_force + (status.in_force if reached else 0),
-            lacking=progress.lacking
-            + (status.lacking if reached else (root.node,)),
+            known=status.known,
+            in_force=status.in_force if reached else 0,
+            lacking=status.lacking if reached else (root.node,),
         )
     return progress
 
