Prove appends, lease and checkpoints

Cause: the appends, the lease and the checkpoints had no proof.

In memory: lost answers, outages, refusals over the rate, the bound of the queue, the back-off, a lease read back late, a replaced holder's records, chunks that are missing, damaged, stale or contradicted, a reader that fell behind. With processes: a move while every append's answer is lost; nodes that start from a checkpoint alone. The log stand-in can expire records at once.

--- /dev/null
+++ b/features/log_append.feature
@@ -0,0 +1,49 @@
+Feature: Appends to the platform log
+  An append is repeated until it is answered and takes effect once.
+
+  Scenario Outline: a repeated append takes effect once
+    Given a log in memory that answers the first appends with <faults>
+    When a log worker appends a release
+    Then the worker reports the append stored
+    And the log was asked <count> times
+    And the fold knows the release once, accepted
+
+    Examples:
+      | faults         | count |
+      | lost           | 2     |
+      | out,out        | 3     |
+      | full,lost,out  | 4     |
+
+  Scenario: an append is given up after its bound
+    Given a log in memory that answers every append with out
+    When a log worker with a bound of 0.3 seconds appends a release
+    Then the worker reports the append given up
+
+  Scenario: pending appends are bounded and the newest lease record stays
+    Given a queue of at most 3 pending appends
+    When a renewal, a release, a newer renewal and two more releases come
+    Then the queue holds the newer renewal and 2 releases
+    And the last release was turned away
+
+  Scenario: the same record is queued once
+    Given a queue of at most 3 pending appends
+    When the same release comes three times
+    Then the queue holds 1 release
+
+  Scenario: delays between attempts are drawn below a growing limit
+    Given a queue of at most 3 pending appends
+    When an append fails 12 times
+    Then each delay lies below its limit and not all are equal
+
+  Scenario: reading goes on after an outage
+    Given a log in memory with 3 releases
+    When the log is out while a log worker begins to read
+    And the log is back
+    Then the worker delivers all entries in order
+
+  Scenario: real processes lose no decision while answers are lost
+    Given a mesh of 2 nodes of service kvoty in lipno
+    When a release routes /kvoty to version v1 of kvoty
+    And the log loses every answer while a move to v2 over 2 seconds is published
+    Then the publication is known to be accepted
+    And the move ends with its verdict within 30 seconds
--- /dev/null
+++ b/features/log_checkpoint.feature
@@ -0,0 +1,50 @@
+Feature: Checkpoints on the log
+  The agreed state outlives the records that it came from.
+
+  Scenario: a fresh node starts from the newest checkpoint and the tail
+    Given a leader that has put 2 checkpoints on a log of 40 releases
+    When all records before the last checkpoint expire
+    Then a fresh reader has the leader's state
+
+  Scenario: nothing is in force before the checkpoint is whole
+    Given a leader that has put 1 checkpoints on a log of 40 releases
+    When all records before the last checkpoint expire
+    Then a fresh node that has read all but the last chunk has no configuration and is not caught up
+    And after the last chunk it has the leader's configuration
+
+  Scenario Outline: a checkpoint that cannot be trusted is not applied
+    Given a leader that has put 1 checkpoints on a log of 40 releases
+    When all records before the last checkpoint expire
+    And the checkpoint <fault>
+    Then a fresh reader waits with the empty state
+
+    Examples:
+      | fault                          |
+      | lacks a chunk                  |
+      | has a chunk with a flipped bit |
+      | has a wrong digest             |
+      | is of a replaced lease         |
+      | says it holds 2000 chunks      |
+
+  Scenario: a reader that fell behind keeps its state until the checkpoint
+    Given a leader that has put 1 checkpoints on a log of 40 releases
+    And a reader that stopped after 10 records
+    When all records before the last checkpoint expire
+    Then the reader keeps its state until the last chunk and never goes back
+    And it has the leader's state in the end
+
+  Scenario: a node with another state says so
+    Given a leader that has put 1 checkpoints on a log of 40 releases
+    When a node whose state differs reads the chunks
+    Then it reports a checkpoint mismatch and keeps its state
+
+  Scenario: a leader replaced half way leaves the checkpoint to the next
+    Given a leader that is replaced after the first chunk of a checkpoint
+    Then the next leader's checkpoint is whole and a fresh reader has its state
+
+  Scenario: new processes start from the checkpoint alone
+    Given a mesh of 2 nodes that put a checkpoint on the log every second
+    When a release routes /kvoty to version v1 of kvoty
+    And a checkpoint holds it and the records before have expired
+    And all nodes are killed and a node kvoty-9 is started
+    Then it is in force on all nodes within 20 seconds
--- /dev/null
+++ b/features/log_lease.feature
@@ -0,0 +1,34 @@
+Feature: The leader's lease
+  One node decides at a time; a replaced one is refused by the fold.
+
+  Scenario: the term is counted from the sending of the renewal
+    Given a root node that claims the lease
+    When its claim is read back 3 seconds after it was sent
+    Then it is the leader for 1 more second
+
+  Scenario: another process of the same name is not the leader
+    Given a root node that claims the lease
+    When its claim is read back 0 seconds after it was sent
+    And the process restarts and reads the log
+    Then it is not the leader
+
+  Scenario: of two claims on one lease the first counts
+    Given two claims that replace the same lease
+    Then the first one holds the lease
+
+  Scenario: a replaced holder's records change nothing
+    Given a running move and a lease held by kvoty-0
+    When kvoty-1 replaces the lease
+    And kvoty-0 wakes and appends a share decision, a verdict, a renewal and a checkpoint
+    Then the agreed state differs in nothing but the position
+
+  Scenario: a repeated renewal does not count again
+    Given a running move and a lease held by kvoty-0
+    When kvoty-0 renews twice and the first renewal is repeated
+    Then the newest renewal is still the second
+
+  Scenario: the holder keeps the lease after an outage of the log
+    Given a root node that follows a lease held by kvoty-9
+    When the log is out for 60 seconds
+    Then the node does not claim the lease while it is out
+    And it waits a whole term after the outage before it claims
--- /dev/null
+++ b/features/steps/log_append_steps.py
@@ -0,0 +1,298 @@
+"""Steps for appends to the log and reading it."""
+
+import datetime
+import random
+import time
+
+import behave
+import log_samples
+import memory_log
+
+from arbutusstall import protocols
+from arbutusstall import settings as node_settings
+from arbutusstall._log import pending
+from arbutusstall._log import publishing
+from arbutusstall._log import reader
+from arbutusstall._log import records
+from arbutusstall._shell import log_worker
+from arbutusstall._tables import agreed
+
+_LIMIT_S = 20.0
+_BASE_S = 0.05
+_CAP_S = 2.0
+
+
+class EventQueue:
+    """Collects what a worker tells the control loop."""
+
+    def __init__(self):
+        self.events = []
+
+    def put(self, event):
+        """Keep an event."""
+        self.events.append(event)
+
+    def wait(self, kind):
+        """Return the first event of a type, waiting for it."""
+        end_s = time.monotonic() + _LIMIT_S
+        while time.monotonic() < end_s:
+            for event in list(self.events):
+                if isinstance(event, kind):
+                    return event
+            time.sleep(0.01)
+        raise AssertionError(self.events)
+
+
+def _release(name):
+    note = log_samples.note(name, log_samples.BASE)
+    return publishing.record_of(note, agreed.Agreed())
+
+
+def _renewal(sequence):
+    return records.LeaseRenewal(
+        record_id=f"renew/{sequence}", lease=0, sequence=sequence
+    )
+
+
+def _start_worker(context, bound_s=60.0):
+    context.events = EventQueue()
+    context.worker = log_worker.LogWorker(
+        context.memory,
+        node_settings.LogSettings(
+            url="http://127.0.0.1:9",
+            retry_base_s=0.01,
+            retry_cap_s=0.05,
+            append_bound_s=bound_s,
+            poll_s=0.01,
+        ),
+        context.events,
+    )
+    context.add_cleanup(context.worker.stop)
+
+
+@behave.given("a log in memory that answers the first appends with {faults}")
+def faulty_log(context, faults):
+    """Begin with appends that fail."""
+    context.memory = memory_log.MemoryLog()
+    context.memory.append_faults = faults.split(",")
+
+
+@behave.given("a log in memory that answers every append with out")
+def out_log(context):
+    """Begin with a log that is out for appends."""
+    context.memory = memory_log.MemoryLog()
+    context.memory.append_faults = ["out"] * 100_000
+
+
+@behave.given("a log in memory with {count:d} releases")
+def filled_log(context, count):
+    """Begin with some records."""
+    context.memory = memory_log.MemoryLog()
+    for index in range(count):
+        context.memory.put(_release(f"r{index}"))
+
+
+@behave.when("a log worker appends a release")
+def append(context):
+    """Append through the worker."""
+    _start_worker(context)
+    context.record = _release("first")
+    context.worker.append(protocols.Append(record=context.record))
+
+
+@behave.when(
+    "a log worker with a bound of {bound:g} seconds appends a release"
+)
+def append_bounded(context, bound):
+    """Append through a worker that gives up early."""
+    _start_worker(context, bound)
+    context.record = _release("first")
+    context.worker.append(protocols.Append(record=context.record))
+
+
+@behave.then("the worker reports the append stored")
+def stored(context):
+    """Wait for the answer."""
+    event = context.events.wait(protocols.Appended)
+    assert event.record == context.record
+
+
+@behave.then("the worker reports the append given up")
+def given_up(context):
+    """Wait for the failure."""
+    event = context.events.wait(protocols.LogFailed)
+    assert event.record == context.record
+    assert context.memory.appends > 1, context.memory.appends
+
+
+@behave.then("the log was asked {count:d} times")
+def asked(context, count):
+    """Check the attempts."""
+    assert context.memory.appends == count, context.memory.appends
+
+
+@behave.then("the fold knows the release once, accepted")
+def known_once(context):
+    """Check that repeated records took effect once."""
+    state = reader.read_agreed(context.memory)
+    outcome = state.releases_by_name["first"]
+    assert outcome.state is agreed.ReleaseState.ACCEPTED, outcome
+    assert outcome.offset == 0, outcome
+    assert state.snapshot.version == 1, state.snapshot.version
+
+
+@behave.given("a queue of at most {limit:d} pending appends")
+def queue(context, limit):
+    """Begin with an empty queue."""
+    context.queue = pending.PendingAppends(
+        limit=limit,
+        bound_s=60.0,
+        base_s=_BASE_S,
+        cap_s=_CAP_S,
+        rng=random.Random(5),
+    )
+
+
+@behave.when(
+    "a renewal, a release, a newer renewal and two more releases come"
+)
+def queue_many(context):
+    """Fill the queue."""
+    queued = (_renewal(1), _release("a"), _renewal(2), _release("b"))
+    for record in queued:
+        assert context.queue.add(record, 0.0)
+    context.taken = context.queue.add(_release("c"), 0.0)
+
+
+@behave.when("the same release comes three times")
+def queue_same(context):
+    """Queue one record again and again, also while it is being sent."""
+    record = _release("a")
+    assert context.queue.add(record, 0.0)
+    assert context.queue.add(record, 1.0)
+    item = context.queue.take(2.0)
+    assert context.queue.add(record, 3.0)
+    assert context.queue.failed(item, 3.0)
+
+
+@behave.when("an append fails {count:d} times")
+def fail_often(context, count):
+    """Note the delay before each attempt."""
+    context.queue.add(_release("a"), 0.0)
+    context.delays = []
+    now_s = 0.0
+    for _ in range(count):
+        item = context.queue.take(now_s)
+        assert context.queue.failed(item, now_s)
+        context.delays.append(context.queue.wait_s(now_s))
+        now_s += context.delays[-1]
+
+
+@behave.then("the queue holds the newer renewal and {count:d} releases")
+def holds(context, count):
+    """Check what is left."""
+    found = _take_all(context.queue)
+    renewals = [
+        record.sequence
+        for record in found
+        if isinstance(record, records.LeaseRenewal)
+    ]
+    assert renewals == [2], found
+    assert len(found) == 1 + count, found
+
+
+@behave.then("the queue holds {count:d} release")
+def holds_releases(context, count):
+    """Check what is left."""
+    assert len(_take_all(context.queue)) == count
+
+
+@behave.then("the last release was turned away")
+def turned_away(context):
+    """Check the answer of the full queue."""
+    assert not context.taken
+
+
+@behave.then("each delay lies below its limit and not all are equal")
+def delays(context):
+    """Check the back-off."""
+    for attempt, delay_s in enumerate(context.delays):
+        assert 0.0 <= delay_s <= min(_CAP_S, _BASE_S * 2**attempt)
+    assert len(set(context.delays)) > len(context.delays) // 2
+    assert max(context.delays) > 4 * _BASE_S, context.delays
+
+
+def _take_all(waiting):
+    found = []
+    while item := waiting.take(1_000.0):
+        found.append(item.record)
+    return found
+
+
+@behave.when("the log is out while a log worker begins to read")
+def read_out(context):
+    """Begin to read during an outage."""
+    context.memory.out = True
+    _start_worker(context)
+    context.worker.follow(protocols.FollowLog(offset=0))
+    context.events.wait(protocols.LogFailed)
+
+
+@behave.when("the log is back")
+def log_back(context):
+    """End the outage."""
+    context.memory.out = False
+
+
+@behave.then("the worker delivers all entries in order")
+def delivered(context):
+    """Check what the loop was told."""
+    context.events.wait(protocols.LogRead)
+    offsets = [
+        entry.offset
+        for event in list(context.events.events)
+        if isinstance(event, protocols.LogRead)
+        for entry in event.entries
+    ]
+    assert offsets == list(range(len(context.memory.entries))), offsets
+
+
+@behave.when(
+    "the log loses every answer while a move to {version} over "
+    "{seconds:d} seconds is published"
+)
+def publish_lossy(context, version, seconds):
+    """Publish while no append is answered."""
+    by = datetime.datetime.now(datetime.UTC) + datetime.timedelta(
+        seconds=seconds
+    )
+    item = {
+        "service": "kvoty",
+        "percent_by_version": {version: 100},
+        "by": by.isoformat(),
+    }
+    context.mesh.set_log_faults(lose_answers=True)
+    context.published = context.mesh.publish(
+        {"name": "move", "shares": [item]}
+    )
+
+
+@behave.then("the publication is known to be accepted")
+def publication_known(context):
+    """Check the exit code."""
+    done = context.published
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "accepted" in done.stdout, done.stdout
+
+
+@behave.then("the move ends with its verdict within {limit:d} seconds")
+def move_ends(context, limit):
+    """Wait for the verdict while answers are still lost."""
+    arguments = ("status", "--log", f"http://{context.mesh.log}")
+
+    def ended():
+        lines = context.mesh.note(*arguments).stdout.splitlines()
+        moves = [line for line in lines if line.startswith("move move/kvoty")]
+        return bool(moves) and "running" not in moves[0]
+
+    assert context.mesh.wait_until(ended, limit)
--- /dev/null
+++ b/features/steps/log_checkpoint_steps.py
@@ -0,0 +1,280 @@
+"""Steps for checkpoints on the log."""
+
+import dataclasses
+import random
+
+import behave
+import log_samples
+import mesh
+
+from arbutusstall import protocols
+from arbutusstall import settings as node_settings
+from arbutusstall._log import follower
+from arbutusstall._log import reader
+from arbutusstall._log import records
+from arbutusstall._shell import log_client
+from arbutusstall._tables import agreed
+
+
+@behave.given(
+    "a leader that has put {count:d} checkpoints on a log of "
+    "{releases:d} releases"
+)
+def checkpointed(context, count, releases):
+    """Write releases with checkpoints between and a tail after them."""
+    log = context.log = log_samples.FoldedLog()
+    log.release("base", log_samples.BASE)
+    log.release("first", log_samples.shares(v1=100.0))
+    log.claim("kvoty-0")
+    for part in range(count):
+        for index in range(releases // count):
+            name = f"{part}-{index}"
+            added = {"routes": [log_samples.route(f"/{name}")]}
+            log.release(name, {"add": added})
+        context.chunks = log.begin_checkpoint()
+        context.through = log.state.offset
+        log.release(f"mid-{part}", log_samples.shares(**{f"v{part}": 100.0}))
+        context.chunk_offsets = [log.put(chunk) for chunk in context.chunks]
+        assert len(context.chunks) > 2
+        assert log.state.checkpoint.through == context.through
+    context.tail = log.release(
+        "tail", {"add": {"routes": [log_samples.route("/tail")]}}
+    )
+
+
+@behave.given("a reader that stopped after {count:d} records")
+def stopped_reader(context, count):
+    """Read a part of the log."""
+    context.reader = follower.Follower()
+    context.reader.read(context.log.read(0, count))
+
+
+@behave.when("all records before the last checkpoint expire")
+def expire(context):
+    """Forget what the checkpoint stands for."""
+    context.first_kept = context.through
+
+
+@behave.then("a fresh reader has the leader's state")
+def fresh_reader(context):
+    """Read the kept records."""
+    reader = log_samples.folded(context.log, context.first_kept)
+    assert not reader.waiting
+    assert reader.state == context.log.state
+
+
+def _core():
+    core = protocols.NodeCore(
+        log_samples.settings("kvoty-7"), random.Random(1), 1
+    )
+    core.start(protocols.ManualClock().now())
+    return core
+
+
+@behave.then(
+    "a fresh node that has read all but the last chunk has no "
+    "configuration and is not caught up"
+)
+def not_whole(context):
+    """Deliver the log up to the last chunk, one record at a time."""
+    context.core = _core()
+    context.now = protocols.ManualClock().now()
+    for offset in range(context.first_kept, context.chunk_offsets[-1]):
+        answer = context.log.read(offset, offset + 1, context.first_kept)
+        effects = context.core.handle(answer, context.now)
+        assert not any(
+            isinstance(effect, protocols.PutInForce) for effect in effects
+        )
+        assert not context.core.tables.caught_up
+        assert context.core.tables.agreed == agreed.Agreed()
+
+
+@behave.then("after the last chunk it has the leader's configuration")
+def whole(context):
+    """Deliver the rest."""
+    rest = context.log.read(context.chunk_offsets[-1])
+    effects = context.core.handle(rest, context.now)
+    views = [
+        effect.view
+        for effect in effects
+        if isinstance(effect, protocols.PutInForce)
+    ]
+    assert views[-1].snapshot == context.log.state.snapshot
+    assert context.core.tables.caught_up
+
+
+@behave.when("the checkpoint {fault}")
+def break_checkpoint(context, fault):
+    """Damage the chunks as they stand on the log."""
+    entries = context.log.entries
+    offsets = context.chunk_offsets
+    first = context.chunks[0]
+    if fault == "lacks a chunk":
+        entries[offsets[1]] = log_samples.GARBAGE
+    elif fault == "has a chunk with a flipped bit":
+        flipped = bytes([first.data[0] ^ 1]) + first.data[1:]
+        broken = dataclasses.replace(first, data=flipped)
+        entries[offsets[0]] = records.encode(broken)
+    elif fault == "has a wrong digest":
+        _rewrite(context, digest="0" * 32)
+    elif fault == "says it holds 2000 chunks":
+        _rewrite(context, count=2_000)
+    else:
+        assert fault == "is of a replaced lease", fault
+        # The new leader's claim comes before the chunks.
+        entries[context.through] = records.encode(
+            records.LeaseClaim(
+                record_id="new", holder="kvoty-1", replaces=first.lease
+            )
+        )
+
+
+def _rewrite(context, **changes):
+    for offset, chunk in zip(
+        context.chunk_offsets, context.chunks, strict=True
+    ):
+        context.log.entries[offset] = records.encode(
+            dataclasses.replace(chunk, **changes)
+        )
+
+
+@behave.then("a fresh reader waits with the empty state")
+def still_waiting(context):
+    """Check that nothing of the checkpoint was applied."""
+    reader = log_samples.folded(context.log, context.first_kept)
+    assert reader.waiting
+    assert reader.state == agreed.Agreed()
+
+
+@behave.then(
+    "the reader keeps its state until the last chunk and never goes back"
+)
+def keeps_state(context):
+    """Deliver the kept records one by one."""
+    before = context.reader.state
+    for offset in range(context.first_kept, len(context.log.entries)):
+        position = context.reader.state.offset
+        context.reader.read(
+            context.log.read(offset, offset + 1, context.first_kept)
+        )
+        assert context.reader.state.offset >= position
+        if offset < context.chunk_offsets[-1]:
+            assert context.reader.state == before
+
+
+@behave.then("it has the leader's state in the end")
+def caught_up(context):
+    """Compare the states."""
+    assert context.reader.state == context.log.state
+
+
+@behave.when("a node whose state differs reads the chunks")
+def differing_node(context):
+    """Give a node one record less than the leader had."""
+    context.core = _core()
+    context.emitted = []
+    now = protocols.ManualClock().now()
+    entries = list(context.log.entries)
+    context.log.entries[3] = log_samples.GARBAGE
+    effects = context.core.handle(context.log.read(), now)
+    context.log.entries = entries
+    context.emitted = [
+        effect.event
+        for effect in effects
+        if isinstance(effect, protocols.Emit)
+    ]
+
+
+@behave.then("it reports a checkpoint mismatch and keeps its state")
+def mismatch(context):
+    """Check the event and the state."""
+    assert context.emitted.count("checkpoint-mismatch") == len(
+        context.chunks
+    ), context.emitted
+    state = context.core.tables.agreed
+    assert state.checkpoint is None
+    assert "/0-0" not in state.snapshot.routes_by_prefix
+    assert "/tail" in state.snapshot.routes_by_prefix
+
+
+@behave.given(
+    "a leader that is replaced after the first chunk of a checkpoint"
+)
+def replaced_leader(context):
+    """Leave a checkpoint half done and let the next leader make one."""
+    log = context.log = log_samples.FoldedLog()
+    log.release("base", log_samples.BASE)
+    log.claim("kvoty-0")
+    left = log.begin_checkpoint()
+    log.put(left[0])
+    log.claim("kvoty-1")
+    context.first_kept = len(log.entries)
+    chunks = log.begin_checkpoint()
+    for old, new in zip(left[1:], chunks, strict=False):
+        log.put(old)
+        log.put(new)
+    for chunk in chunks[len(left) - 1 :]:
+        log.put(chunk)
+
+
+@behave.then(
+    "the next leader's checkpoint is whole and a fresh reader has its state"
+)
+def next_checkpoint(context):
+    """Check the state of a reader without the prefix."""
+    newest = context.log.state.checkpoint
+    assert newest is not None
+    assert newest.through == context.first_kept + 1
+    fresh_reader(context)
+
+
+@behave.given(
+    "a mesh of {count:d} nodes that put a checkpoint on the log every second"
+)
+def checkpointing_mesh(context, count):
+    """Start processes with an eager policy."""
+    checkpoint = {"every_s": 1.0, "chunk_s": 0.1}
+    context.mesh = mesh.Mesh(
+        context.directory,
+        {"relay": {"roots": 1}, "checkpoint": checkpoint},
+    )
+    context.mesh.start_log()
+    for index in range(count):
+        context.mesh.start_node(_spec(f"kvoty-{index}"))
+    context.mesh.wait_ready()
+
+
+def _spec(name):
+    return mesh.NodeSpec(
+        name=name, data_centre="lipno", service="kvoty", version="v1"
+    )
+
+
+@behave.when("a checkpoint holds it and the records before have expired")
+def expire_before(context):
+    """Wait for a checkpoint and expire what it stands for."""
+    log = log_client.HttpLogClient(
+        node_settings.LogSettings(url=f"http://{context.mesh.log}")
+    )
+
+    def through():
+        state = reader.read_agreed(log)
+        wanted = state.releases_by_name["first"].offset
+        newest = state.checkpoint
+        return newest.through if newest and newest.through > wanted else 0
+
+    assert context.mesh.wait_until(lambda: through() > 0, 30.0)
+    context.mesh.set_log_faults(expired_to=through())
+    counts = context.mesh.log_counts()
+    assert int(counts["first_kept"]) > 0, counts
+
+
+@behave.when("all nodes are killed and a node {name} is started")
+def start_fresh(context, name):
+    """Leave the checkpoint as the only memory of the release."""
+    for known in list(context.mesh.nodes_by_name):
+        context.mesh.kill(known)
+        context.mesh.kill(f"{known}-target")
+        del context.mesh.nodes_by_name[known]
+    context.mesh.start_node(_spec(name))
+    context.mesh.wait_ready()
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -22,11 +22,13 @@
         out: Answer every request with 503.
         delay_s: Wait before each answer.
         lose_answers: Store appends but break their answers off.
+        expired_to: Records before this offset have expired.
     """
 
     out: bool = False
     delay_s: float = 0.0
     lose_answers: bool = False
+    expired_to: int = 0
 
 
 class Log:
@@ -78,14 +80,30 @@
                 ],
             }
 
+    def counts(self) -> dict[str, int]:
+        """Return what has been asked for, and the oldest kept offset."""
+        with self._changed:
+            self._expire()
+            return {
+                "appends": self.appends,
+                "reads": self.reads,
+                "first_kept": self._first,
+                "next_offset": self._next(),
+            }
+
     def _next(self) -> int:
         return self._first + len(self._entries)
 
     def _expire(self) -> None:
         oldest_s = time.monotonic() - self._keep_s
-        while self._entries and self._entries[0][0] < oldest_s:
-            del self._entries[0]
-            self._first += 1
+        gone = 0
+        for stored_s, _ in self._entries:
+            forced = self._first + gone < self.faults.expired_to
+            if stored_s >= oldest_s and not forced:
+                break
+            gone += 1
+        del self._entries[:gone]
+        self._first += gone
 
 
 class App:
@@ -106,9 +124,7 @@
             )
             return wrappers.Response("ok\n")
         if request.path == "/counts":
-            return _json(
-                {"appends": self._log.appends, "reads": self._log.reads}
-            )
+            return _json(self._log.counts())
         faults = self._log.faults
         time.sleep(faults.delay_s)
         if faults.out:
