--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -301,8 +301,8 @@
 
 def _number_problem(name: str, value: float) -> str:
     positive = name in _POSITIVE or name.endswith(_POSITIVE_SUFFIXES)
-    if positive and name not in _ZERO_ALLOWED:
-        return "" if 0 < value <= _MAX_NUMBER else f"{value} is not above 0"
+    if positive and name not in _ZERO_ALLOWED and value <= 0:
+        return f"{value} is not above 0"
     limit = 100.0 if name.endswith("percent") else _MAX_NUMBER
     if not 0 <= value <= limit:
         return f"{value} is not in 0..{limit:g}"
--- a/src/arbutusstall/notes.py
+++ b/src/arbutusstall/notes.py
@@ -1,6 +1,7 @@
 """Release files that operators publish."""
 
 from arbutusstall._notes import check_times
+from arbutusstall._notes import decode
 from arbutusstall._notes import digest
 from arbutusstall._notes import Items
 from arbutusstall._notes import load
@@ -18,6 +19,7 @@
     "ShareItem",
     "Withdrawals",
     "check_times",
+    "decode",
     "digest",
     "load",
 ]
--- a/src/arbutusstall/settings.py
+++ b/src/arbutusstall/settings.py
@@ -3,6 +3,7 @@
 from arbutusstall._settings import AddressSettings
 from arbutusstall._settings import CallSettings
 from arbutusstall._settings import CheckpointSettings
+from arbutusstall._settings import decode
 from arbutusstall._settings import LeaseSettings
 from arbutusstall._settings import load
 from arbutusstall._settings import LogSettings
@@ -19,5 +20,6 @@
     "NodeSettings",
     "RelaySettings",
     "RolloutSettings",
+    "decode",
     "load",
 ]
