--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -90,5 +90,6 @@
         self._inbound.stop()
         self._outbound.close()
         self._loop.stop()
+        self._log_worker.stop()
         self._relay.stop()
         self._log.emit("node-stopped")
