--- /dev/null
+++ b/features/invariant_rollouts.feature
@@ -0,0 +1,21 @@
+Feature: Bad versions under failure
+  Invariant: bad-version-contained.
+
+  Scenario: versions that fail, are slow, or fail on one route, together
+    Given a trial mesh with services a, b and c, each in two versions
+    And version v2 of a fails always
+    And version v2 of b takes 800 ms longer
+    And version v2 of c fails on one route only
+    And callers send 150 requests a second to them for 25 seconds
+    When releases move all of them to v2 within 8 seconds
+    Then the moves of a, b and c end as rolled-back within 40 seconds
+    And the time line holds bad-version-contained, own-whole-answer
+
+  Scenario: a version turns bad late while the log is out
+    Given a trial mesh with services a, b and c, each in two versions
+    And callers send 120 requests a second to them for 25 seconds
+    When releases move all of them to v2 within 20 seconds
+    And version v2 of a turns bad after 8 seconds while the log is out
+    Then the moves of b and c end as done within 60 seconds
+    And the moves of a end as rolled-back within 20 seconds
+    And the time line holds bad-version-contained, own-whole-answer
