--- a/src/arbutusstall/_shell/dispatch.py
+++ b/src/arbutusstall/_shell/dispatch.py
@@ -177,7 +177,11 @@
             deadline_ms=max(1, int(progress.left_s * 1000)),
         )
         attempt = self._send(progress, peer, member, call)
-        if attempt.reason not in admission.STALE_BOUND:
+        # After a revocation the endpoint is well; only a link was not.
+        same_may_do = attempt.revoked or (
+            attempt.reason in admission.STALE_BOUND
+        )
+        if not same_may_do:
             progress.tried.add(member.node)
         return attempt
 
--- a/src/arbutusstall/_shell/web.py
+++ b/src/arbutusstall/_shell/web.py
@@ -8,6 +8,7 @@
 from concurrent import futures
 import contextlib
 import logging
+import os
 import select
 import socket
 import threading
@@ -63,6 +64,7 @@
         )
         self._workers = workers
         self._epoll = select.epoll()
+        self._wakeup = os.eventfd(0, os.EFD_NONBLOCK)
         self._lock = threading.Lock()
         self._connections_by_fd: dict[int, _Connection] = {}
         self._busy = 0
@@ -73,6 +75,7 @@
     def start(self) -> None:
         """Begin to accept connections."""
         self._epoll.register(self._listener, select.EPOLLIN)
+        self._epoll.register(self._wakeup, select.EPOLLIN)
         self._thread.start()
 
     def close_connections(self) -> None:
@@ -89,9 +92,14 @@
         while self._busy and time.monotonic() < end_s:
             time.sleep(0.005)
         self._stopped.set()
+        os.eventfd_write(self._wakeup, 1)
         self._thread.join(timeout=2 * _POLL_S)
         for connection in list(self._connections_by_fd.values()):
-            if not connection.busy:
+            if connection.busy:
+                # Its worker closes it; a blocked read ends at once.
+                with contextlib.suppress(OSError):
+                    connection.socket.shutdown(socket.SHUT_RDWR)
+            else:
                 self._close(connection)
         self._pool.shutdown(wait=False)
 
--- a/src/arbutusstall/_systems/attempts.py
+++ b/src/arbutusstall/_systems/attempts.py
@@ -39,6 +39,7 @@
     Attributes:
         reason: Why there is no answer.
         retryable: Whether another endpoint may do better.
+        revoked: Whether the endpoint answered that it will never run.
     """
 
     fate: Fate
@@ -46,6 +47,7 @@
     reason: str = ""
     retry_after_ms: int = 0
     retryable: bool = True
+    revoked: bool = False
 
 
 class RetryBudget:
@@ -93,7 +95,9 @@
     if revoked is None:
         return Attempt(fate=Fate.LOST, reason=reason)
     if revoked.state is messages.RevokeState.REVOKED:
-        return Attempt(fate=Fate.NOT_RUN, reason=f"revoked: {reason}")
+        return Attempt(
+            fate=Fate.NOT_RUN, reason=f"revoked: {reason}", revoked=True
+        )
     if revoked.answer is not None:
         return from_answer(revoked.answer)
     running = revoked.state is messages.RevokeState.RUNNING
