--- a/src/arbutusstall/settings.py
+++ b/src/arbutusstall/settings.py
@@ -2,6 +2,8 @@
 
 from arbutusstall._settings import AddressSettings
 from arbutusstall._settings import CallSettings
+from arbutusstall._settings import CheckpointSettings
+from arbutusstall._settings import decode
 from arbutusstall._settings import LeaseSettings
 from arbutusstall._settings import load
 from arbutusstall._settings import LogSettings
@@ -12,10 +14,12 @@
 __all__ = [
     "AddressSettings",
     "CallSettings",
+    "CheckpointSettings",
     "LeaseSettings",
     "LogSettings",
     "NodeSettings",
     "RelaySettings",
     "RolloutSettings",
+    "decode",
     "load",
 ]
