--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -76,8 +76,8 @@
             node=settings.node,
             data_centre=settings.data_centre,
             incarnation=incarnation,
-            inbound=settings.addresses.inbound,
-            relay=settings.addresses.relay,
+            inbound=settings.advertise.inbound or settings.addresses.inbound,
+            relay=settings.advertise.relay or settings.addresses.relay,
         )
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
         rows.put(self.tables, member, _clock.Instant(mono_s=0.0, wall_s=0.0))
