--- /dev/null
+++ b/features/calls_links.feature
@@ -0,0 +1,42 @@
+Feature: Links that go silent while new ones work
+  A call is asked for over a new connection after a share of its
+  deadline; nobody waits for the silent one.
+
+  Scenario Outline: a <method> whose <what> is lost in silence is saved
+    Given 1 endpoint behind links that can be cut
+    When the open links go silent <when> and a <method> is sent
+    Then the caller gets the answer
+    And the request ran 1 times
+    And the answer took less than its deadline
+
+    Examples:
+      | method | what    | when                       |
+      | POST   | request | before                     |
+      | GET    | request | before                     |
+      | POST   | answer  | while it runs              |
+      | GET    | answer  | while it runs              |
+
+  Scenario: a one-way link is reported truthfully
+    Given 1 endpoint behind links that can be cut
+    When all bytes from the endpoint vanish and a POST is sent
+    Then the caller gets unknown
+    And the answer took less than its deadline
+
+  Scenario: a link that drops all bytes to the endpoint
+    Given 1 endpoint behind links that can be cut
+    When all bytes to the endpoint vanish and a POST is sent
+    Then the caller gets unknown
+    And the request ran 0 times
+
+  Scenario: a long call is not cut by being asked for
+    Given 1 endpoint behind links that can be cut
+    When a POST takes longer than the share of its deadline
+    Then the caller gets the answer
+    And the request ran 1 times
+    And no target was told to cancel
+
+  Scenario: a caller that goes away cancels its call at the target
+    Given 1 endpoint behind links that can be cut
+    When a caller closes its connection while its POST runs
+    Then the target is told to cancel
+    And the next POST gets the answer
