Grant each Idempotency-Key to one call at a time

Cause: a request sent again with its key through another node could be run a second time.

Change: the key's owner, by rendezvous hash over the nodes beside the service's endpoints, remembers the call that the key was granted to. A second sender asks that call's inbound proxy what became of it and gets its answer, or runs the request after a revocation. An owner that may not know all grants (start, changed owners, no majority) grants nothing.

Ruled out: the executing endpoint as owner, since shares and rollbacks would move keys; a claim on the log for each request, since the log takes a few hundred appends a second.

Before: not tested.

--- /dev/null
+++ b/features/steps/keys_steps.py
@@ -0,0 +1,195 @@
+"""Steps for requests with an Idempotency-Key."""
+
+from concurrent import futures
+import time
+
+import behave
+import call_rig
+import cut_steps
+
+from arbutusstall import _effects
+from arbutusstall._systems import keys
+from arbutusstall._systems import quarantine
+from arbutusstall._tables import members
+from arbutusstall._wire import messages
+
+_HORIZON_MS = 1_500
+_KEY = "key-1"
+
+
+@behave.given("3 endpoints that honour keys and two nodes to enter at")
+def start(context):
+    """Start them and wait until the owners may grant."""
+    context.rig = call_rig.Rig(3, key_horizon_ms=_HORIZON_MS)
+    context.add_cleanup(context.rig.stop)
+    context.rig.put_in_force(3)
+    endpoints = context.rig.endpoints
+    names = [endpoint.name for endpoint in endpoints]
+    # The member that leaves first is the last; the key must be its own.
+    numbers = (f"{_KEY}{n}" for n in range(1000))
+    context.key = next(
+        key
+        for key in numbers
+        if keys.owner(call_rig.SERVICE, key, names) == names[-1]
+    )
+    context.owner = endpoints[-1]
+    cut_steps.poll(lambda: _standing(context) is keys.Standing.SETTLED)
+    context.body = b"ticket"
+
+
+def _standing(context):
+    proxy = context.owner.inbound
+    return proxy._keys.standing(call_rig.SERVICE, context.key, proxy.now_ms())
+
+
+def _send(context, caller, body=b"ticket"):
+    return context.rig.send(
+        request_id="request",
+        caller=caller,
+        body=body,
+        Idempotency_Key=context.key,
+    )
+
+
+@behave.when("a POST with a key is sent through one node")
+def first(context):
+    """Send it; the caller is taken to have lost the answer."""
+    context.first = _send(context, 0)
+    assert context.first.status == 200, context.first
+
+
+@behave.when("it is sent again through the other node")
+def second(context):
+    """Send it again."""
+    context.second = _send(context, 1)
+
+
+@behave.when("another body is sent with the same key")
+def other_body(context):
+    """Use the key for another request."""
+    context.second = _send(context, 1, b"other ticket")
+
+
+@behave.when("a POST with a key is sent through both nodes at the same time")
+def both(context):
+    """Hold the targets until both were sent."""
+    targets = [endpoint.target for endpoint in context.rig.endpoints]
+    for target in targets:
+        target.release.clear()
+    with futures.ThreadPoolExecutor(max_workers=2) as pool:
+        jobs = [pool.submit(_send, context, caller) for caller in (0, 1)]
+        cut_steps.poll(lambda: context.rig.executions("request") >= 1)
+        time.sleep(0.2)
+        for target in targets:
+            target.release.set()
+        context.first, context.second = (job.result() for job in jobs)
+
+
+@behave.when("a POST with a key never reaches its endpoint")
+def never_reaches(context):
+    """Grant the key to a call that was not sent."""
+    endpoint = context.rig.endpoints[0]
+    claimed = context.owner.inbound.claim(
+        messages.KeyClaim(
+            service=call_rig.SERVICE,
+            key=context.key,
+            grant=messages.KeyGrant(
+                call_id="lost-call",
+                fingerprint=_fingerprint(context),
+                node=endpoint.name,
+                inbound=endpoint.link.listen,
+                incarnation=endpoint.inbound.incarnation,
+                sent_ms=endpoint.inbound.now_ms(),
+            ),
+        )
+    )
+    assert claimed.state is messages.KeyState.GRANTED, claimed
+
+
+def _fingerprint(context):
+    return quarantine.fingerprint(
+        "POST", call_rig.PREFIX, b"ticket", context.key
+    )
+
+
+@behave.when("the owner of the key is replaced")
+def owner_replaced(context):
+    """Crash it and start the next incarnation."""
+    context.owner.crash()
+    context.owner.start()
+    context.rig.put_in_force(3)
+
+
+@behave.when("the endpoint that ran it is replaced")
+def runner_replaced(context):
+    """Crash whichever endpoint ran the request."""
+    for endpoint in context.rig.endpoints:
+        if endpoint.target.executions.count("request"):
+            endpoint.crash()
+            endpoint.start()
+    context.rig.put_in_force(3)
+
+
+@behave.when("the owner of the key leaves the membership")
+def owner_leaves(context):
+    """Take the last member out everywhere."""
+    context.rig.put_in_force(2)
+
+
+@behave.then("both got the same answer and it ran once")
+def same(context):
+    """Compare the answers."""
+    assert context.second.status == 200, context.second
+    assert context.first.body == context.second.body
+    assert context.rig.executions("request") == 1
+
+
+@behave.then("the second got {outcome} and it ran once")
+def second_got(context, outcome):
+    """Check the second outcome and the count."""
+    headers = {name.lower(): value for name, value in context.second.headers}
+    if outcome == "the answer":
+        assert context.second.status == 200, context.second
+    else:
+        assert headers["arbutusstall-outcome"] == outcome, context.second
+    assert context.rig.executions("request") == 1
+
+
+@behave.then("of two halves of {count:d} owners at most one grants a new key")
+def halves(context, count):
+    """Cut the members in two and ask every owner for every key."""
+    names = [f"node-{n}" for n in range(count)]
+    granted = {}
+    for size in range(1, count):
+        for side in (names[:size], names[size:]):
+            for name in side:
+                table = keys.KeyTable(name, 1_000)
+                table.put_in_force(_view(names), 0)
+                table.put_in_force(_view(side), 5_000)
+                for number in range(50):
+                    if _ever_settled(table, f"k{number}"):
+                        granted.setdefault((size, number), []).append(name)
+    assert granted
+    assert all(len(owners) == 1 for owners in granted.values()), granted
+
+
+def _ever_settled(table, key):
+    # Soon after the cut, and long after all that was granted before.
+    return any(
+        table.standing("s", key, now_ms) is keys.Standing.SETTLED
+        for now_ms in (5_500, 600_000)
+    )
+
+
+def _view(names):
+    rows = tuple(
+        members.Member(
+            node=name,
+            data_centre="lipno",
+            incarnation=1,
+            state=members.MemberState.SERVING,
+            service="s",
+        )
+        for name in names
+    )
+    return _effects.View(members_by_service={"s": rows})
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -181,7 +181,7 @@
     queue_ms: int = 200
     default_deadline_ms: int = 5_000
     max_deadline_ms: int = 60_000
-    horizon_ms: int = 30_000
+    horizon_ms: int = 60_000
     remembered: int = 20_000
     remembered_bytes: int = 16_000_000
     probe_share: float = 0.4
--- a/src/arbutusstall/_shell/dispatch.py
+++ b/src/arbutusstall/_shell/dispatch.py
@@ -15,11 +15,16 @@
 from arbutusstall._systems import admission
 from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
+from arbutusstall._systems import keys
+from arbutusstall._systems import quarantine
 from arbutusstall._tables import members
 from arbutusstall._wire import messages
 
 NO_ENDPOINT = "no endpoint"
 CANCELLED = "cancelled by the caller"
+UNSETTLED = "the key's owner cannot tell"
+MISUSED = "the key belongs to another request"
+EARLIER = "an earlier request with this key"
 
 _REVOKE_WAIT_MS = 1_000
 _REVOKE_PAUSE_S = 0.02
@@ -53,6 +58,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     count: int = 0
     earlier_lost: bool = False
+    fingerprint: str = ""
+    granted: str = ""
 
     @property
     def left_s(self) -> float:
@@ -110,6 +117,7 @@
             call=call,
             end_s=time.monotonic() + call.deadline_ms / 1000,
             cancellation=cancellation,
+            fingerprint=_fingerprint(call),
         )
         attempt = attempts.Attempt(
             fate=attempts.Fate.NOT_RUN, reason=NO_ENDPOINT
@@ -176,6 +184,11 @@
             sent_ms=bound.at(time.monotonic()),
             deadline_ms=max(1, int(progress.left_s * 1000)),
         )
+        denied = self._claim(progress, member, call)
+        if denied is not None:
+            with self._lock:
+                self._balancer.released(member.node)
+            return denied
         attempt = self._send(progress, peer, member, call)
         # After a revocation the endpoint is well; only a link was not.
         same_may_do = attempt.revoked or (
@@ -185,6 +198,76 @@
             progress.tried.add(member.node)
         return attempt
 
+    def _claim(
+        self,
+        progress: _Progress,
+        member: members.Member,
+        call: messages.CallRequest,
+    ) -> attempts.Attempt | None:
+        """Claim the request's key; None if the call may be sent."""
+        if not call.key or call.idempotent:
+            return None
+        grant = messages.KeyGrant(
+            call_id=call.call_id,
+            fingerprint=progress.fingerprint,
+            node=member.node,
+            inbound=member.inbound,
+            incarnation=call.incarnation,
+            sent_ms=call.sent_ms,
+        )
+        claimed = self._claim_for(call, grant, progress.granted)
+        if claimed.state is messages.KeyState.GRANTED:
+            progress.granted = call.call_id
+            return None
+        if claimed.state is messages.KeyState.MISUSED:
+            return attempts.Attempt(
+                fate=attempts.Fate.NOT_RUN, reason=MISUSED, retryable=False
+            )
+        if claimed.grant is None:
+            return attempts.Attempt(
+                fate=attempts.Fate.LOST, reason=UNSETTLED, retryable=False
+            )
+        earlier = self._ask_for(progress, call, claimed.grant)
+        if earlier.revoked:
+            # The earlier call will never run; its key is free.
+            progress.granted = claimed.grant.call_id
+        return earlier
+
+    def _claim_for(
+        self,
+        call: messages.CallRequest,
+        grant: messages.KeyGrant,
+        replaces: str,
+    ) -> messages.KeyClaimed:
+        nodes = keys.owners(self._view, call.service)
+        owner = keys.owner(call.service, call.key, nodes)
+        rows = self._view.members_by_service.get(call.service, ())
+        for row in rows:
+            if row.node == owner:
+                claim = messages.KeyClaim(
+                    service=call.service,
+                    key=call.key,
+                    grant=grant,
+                    replaces=replaces,
+                )
+                return self._peers.get(row).claim(claim)
+        return messages.KeyClaimed(state=messages.KeyState.UNSETTLED)
+
+    def _ask_for(
+        self,
+        progress: _Progress,
+        call: messages.CallRequest,
+        grant: messages.KeyGrant,
+    ) -> attempts.Attempt:
+        earlier = dataclasses.replace(
+            call,
+            call_id=grant.call_id,
+            incarnation=grant.incarnation,
+            sent_ms=grant.sent_ms,
+        )
+        peer = self._peers.at(grant.node, grant.inbound)
+        return self._revoke(progress, peer, earlier, EARLIER)
+
     def _send(
         self,
         progress: _Progress,
@@ -263,6 +346,12 @@
             self._balancer.failed(member.node, time.monotonic(), unreachable)
 
 
+def _fingerprint(call: messages.CallRequest) -> str:
+    if not call.key:
+        return ""
+    return quarantine.fingerprint(call.method, call.path, call.body, call.key)
+
+
 def _revocation(
     call: messages.CallRequest, *, wait_ms: int, cancel: bool = False
 ) -> messages.CallRevoke:
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -18,6 +18,7 @@
 from arbutusstall._shell import target as targets
 from arbutusstall._shell import web
 from arbutusstall._systems import admission
+from arbutusstall._systems import keys
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import revocation
 from arbutusstall._tables import outcomes
@@ -67,6 +68,7 @@
         self.admission = admission.Admission(
             table, calls.slots, calls.queue, calls.queue_ms
         )
+        self._keys = keys.KeyTable(settings.node, calls.key_horizon_ms)
         self._suspects = quarantine.Suspects()
         self._lock = threading.Lock()
         self._running_by_id: dict[str, _Running] = {}
@@ -186,6 +188,16 @@
             slots=self.admission.slots,
         )
 
+    def claim(self, claim: messages.KeyClaim) -> messages.KeyClaimed:
+        """Grant an Idempotency-Key that this node owns."""
+        with self._lock:
+            return self._keys.claim(claim, self.now_ms())
+
+    def put_in_force(self, view: _effects.View) -> None:
+        """Note which nodes own keys."""
+        with self._lock:
+            self._keys.put_in_force(view, self.now_ms())
+
     def _dispatch(self, message: messages.Message) -> messages.Message:
         if isinstance(message, messages.CallRequest):
             return self.call(message)
@@ -193,6 +205,8 @@
             return self.revoke(message)
         if isinstance(message, messages.CallGreeting):
             return self.greet()
+        if isinstance(message, messages.KeyClaim):
+            return self.claim(message)
         raise errors.WireError(
             step="inbound.dispatch", peer="-", reason="unexpected message"
         )
--- a/src/arbutusstall/_shell/outbound.py
+++ b/src/arbutusstall/_shell/outbound.py
@@ -60,9 +60,11 @@
             balancing.Balancer(settings.data_centre, self._rng),
             f"{settings.node}-{local.incarnation:x}",
         )
+        self._local = local
 
     def put_in_force(self, effect: _effects.PutInForce) -> None:
         """Route by the effect's view from now on."""
+        self._local.put_in_force(effect.view)
         self._dispatcher.put_in_force(effect.view)
         self._view = effect.view
 
--- a/src/arbutusstall/_shell/peers.py
+++ b/src/arbutusstall/_shell/peers.py
@@ -16,6 +16,7 @@
 _GREETING_S = 0.5
 _CONNECT_S = 0.3
 _MARGIN_S = 0.3
+_CLAIM_S = 0.5
 
 
 class Peer(Protocol):
@@ -46,6 +47,10 @@
         """Revoke a call; None if no answer arrived."""
         ...
 
+    def claim(self, claim: messages.KeyClaim) -> messages.KeyClaimed:
+        """Claim an Idempotency-Key; unsettled if no answer arrives."""
+        ...
+
     def abort(self, call_id: str) -> None:
         """Stop waiting for the answer to a call."""
         ...
@@ -77,6 +82,10 @@
         """Revoke a call."""
         return self._proxy.revoke(revoke)
 
+    def claim(self, claim: messages.KeyClaim) -> messages.KeyClaimed:
+        """Claim an Idempotency-Key."""
+        return self._proxy.claim(claim)
+
     def abort(self, call_id: str) -> None:
         """Do nothing; a cancelling revocation ends the call."""
 
@@ -163,6 +172,16 @@
             return None
         return answer
 
+    def claim(self, claim: messages.KeyClaim) -> messages.KeyClaimed:
+        """Claim an Idempotency-Key; unsettled if no answer arrives."""
+        try:
+            answer = self._exchange(claim, _CLAIM_S)
+        except errors.ArbutusstallError:
+            answer = None
+        if isinstance(answer, messages.KeyClaimed):
+            return answer
+        return messages.KeyClaimed(state=messages.KeyState.UNSETTLED)
+
     def abort(self, call_id: str) -> None:
         """Stop waiting for the answer to a call."""
         connection = self._connections_by_call.get(call_id)
@@ -231,6 +250,12 @@
                 self._remote_by_node[member.node] = peer
             return peer
 
+    def at(self, node: str, address: str) -> Peer:
+        """Return the inbound proxy that was at ``address``."""
+        if node == self._node:
+            return self._local
+        return RemotePeer(self._node, address, self._pool)
+
     def keep_only(self, nodes: abc.Set[str]) -> None:
         """Forget the nodes that are not in ``nodes``."""
         with self._lock:
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -102,6 +102,13 @@
             old, outstanding=old.outstanding + 1
         )
 
+    def released(self, node: str) -> None:
+        """Note that a call was not sent to ``node`` after all."""
+        old = self._get(node)
+        self._endpoints_by_node[node] = dataclasses.replace(
+            old, outstanding=max(0, old.outstanding - 1)
+        )
+
     def answered(
         self, node: str, in_flight: int, slots: int, now_s: float
     ) -> None:
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -300,6 +300,63 @@
     slots: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyGrant:
+    """The call that an Idempotency-Key was granted to.
+
+    Attributes:
+        node: Node whose inbound proxy the call is sent to.
+        inbound: Address of that proxy.
+        incarnation: Incarnation of that proxy.
+        sent_ms: Stamp of the call, on that proxy's clock.
+        granted_ms: Time of the grant, on the owner's clock.
+    """
+
+    call_id: str
+    fingerprint: str
+    node: str
+    inbound: str
+    incarnation: int
+    sent_ms: int
+    granted_ms: int = 0
+
+
+class KeyState(enum.Enum):
+    """How the owner of a key answers a claim."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    MISUSED = "misused"
+    UNSETTLED = "unsettled"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyClaim:
+    """Asks the owner of a key to grant it to a call.
+
+    Attributes:
+        replaces: Call that is known never to run, whose grant may be
+            replaced; empty if there is none.
+    """
+
+    service: str
+    key: str
+    grant: KeyGrant
+    replaces: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyClaimed:
+    """Answer to a claim.
+
+    Attributes:
+        grant: The call that has the key, if it is taken.
+    """
+
+    state: KeyState
+    grant: KeyGrant | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Suspect:
     """A request that was in flight when a target crashed.
@@ -342,6 +399,8 @@
     | CallRevoked
     | CallGreeting
     | CallGreeted
+    | KeyClaim
+    | KeyClaimed
     | SuspectReport
 )
 
@@ -365,6 +424,8 @@
     "revoked": CallRevoked,
     "greeting": CallGreeting,
     "greeted": CallGreeted,
+    "key-claim": KeyClaim,
+    "key-claimed": KeyClaimed,
     "suspects": SuspectReport,
 }
 _NAMES: abc.Mapping[type[Any], str] = {
--- a/tests/call_rig.py
+++ b/tests/call_rig.py
@@ -9,14 +9,12 @@
 
 from arbutusstall import _effects
 from arbutusstall import settings as node_settings
-from arbutusstall._shell import dispatch
 from arbutusstall._shell import events
 from arbutusstall._shell import exchange
 from arbutusstall._shell import http
 from arbutusstall._shell import inbound
 from arbutusstall._shell import outbound
 from arbutusstall._shell import web
-from arbutusstall._systems import quarantine
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 
@@ -184,12 +182,13 @@
             for endpoint in self.endpoints
         )
 
-    def forward_suspects(self) -> None:
-        """Hand the suspects of each endpoint to all others."""
+    def put_in_force(self, count: int) -> None:
+        """Let all nodes know the first ``count`` endpoints only."""
+        view = self._view(count)
         for endpoint in self.endpoints:
-            effect = _effects.Suspected(rows=tuple(endpoint.suspects))
-            for other in self.endpoints:
-                other.inbound.suspected(effect)
+            endpoint.inbound.put_in_force(view)
+        for _, _, proxy in self.callers:
+            proxy.put_in_force(_effects.PutInForce(view=view))
 
     def stop(self) -> None:
         """Close everything."""
@@ -209,8 +208,9 @@
         server.start()
         return address, server, proxy
 
-    def _view(self) -> _effects.View:
-        rows = tuple(endpoint.member() for endpoint in self.endpoints)
+    def _view(self, count: int | None = None) -> _effects.View:
+        chosen = self.endpoints[:count]
+        rows = tuple(endpoint.member() for endpoint in chosen)
         return _effects.View(
             snapshot=agreed.Snapshot(
                 version=1,
@@ -241,6 +241,3 @@
         log=node_settings.LogSettings(url="-"),
         calls=calls,
     )
-
-
-__all__ = ["Rig", "dispatch", "quarantine"]
