--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -10,6 +10,7 @@
 from arbutusstall._systems import agreement
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
+from arbutusstall._systems import local_rollback
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import rollout
@@ -34,6 +35,7 @@
     messages.MemberUpdate: membership.on_update,
     messages.InForce: distribution.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.RollbackNotice: local_rollback.on_notice,
 }
 
 
@@ -80,6 +82,7 @@
         """Run the periodic systems over the tables."""
         effects = tree.run(self.tables, now)
         effects += lease.run(self.tables, now)
+        effects += outcomes.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
 
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -84,10 +84,12 @@
     items = dict(state.item_offsets_by_key)
     for key in item_keys(record.note):
         items[key] = offset
-    return dataclasses.replace(
-        state,
-        snapshot=_snapshot(state.snapshot, offset, record),
-        item_offsets_by_key=items,
+    return rollouts.trim(
+        dataclasses.replace(
+            state,
+            snapshot=_snapshot(state.snapshot, offset, record),
+            item_offsets_by_key=items,
+        )
     )
 
 
@@ -126,8 +128,6 @@
     note = record.note
     services = dict(old.services_by_name)
     routes = dict(old.routes_by_prefix)
-    shares = dict(old.shares_by_service)
-    moves = dict(old.rollouts_by_id)
     for service in note.add.services + note.change.services:
         services[service.name] = tables.Service(name=service.name)
     for route in note.add.routes + note.change.routes:
@@ -141,21 +141,14 @@
         routes.pop(prefix, None)
     for name in note.withdraw.services:
         services.pop(name, None)
-        shares.pop(name, None)
-    for item in note.shares:
-        rollout = rollouts.begin(shares, offset, record, item)
-        moves[rollout.rollout_id] = rollout
-        if rollout.state is tables.RolloutState.DONE:
-            shares[item.service] = tables.Shares(
-                service=item.service, percent_by_version=rollout.goal
-            )
+    changes = rollouts.release(old, offset, record)
     return tables.Snapshot(
         version=offset + 1,
         services_by_name=services,
         routes_by_prefix=routes,
-        shares_by_service=shares,
-        rollouts_by_id=moves,
-        blocked=old.blocked,
+        shares_by_service=changes.shares_by_service,
+        rollouts_by_id=changes.rollouts_by_id,
+        blocked=changes.blocked,
     )
 
 
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -50,13 +50,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShareDecision:
-    """Sets the shares of a running rollout, under a lease."""
+    """Sets the shares of a running rollout, under a lease.
+
+    Attributes:
+        lease: Offset of the lease claim it was made under.
+        step: One more than the step that it follows.
+        held_by: See `agreed.Rollout`.
+    """
 
     record_id: str
     lease: int
     rollout_id: str
     step: int
     percent_by_version: abc.Mapping[str, float]
+    held_by: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,6 +73,8 @@
     Attributes:
         done: True when the goal was reached, false for a rollback.
         reason: One line with the outcome counts behind the verdict.
+        condemned: Versions to block; after a rollback none means all
+            that were rising.
     """
 
     record_id: str
@@ -73,6 +82,7 @@
     rollout_id: str
     done: bool
     reason: str
+    condemned: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -2,22 +2,141 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from arbutusstall import _notes
 from arbutusstall._log import records
+from arbutusstall._systems import shares
 from arbutusstall._tables import agreed as tables
 
+KEPT_PER_SERVICE = 2
+"""Ended rollouts of a service that stay in the snapshot."""
+
+KEPT_IN_HISTORY = 1_000
+"""Ended rollouts in the agreed state that left the snapshot."""
+
+_FULL_PERCENT = 100.0
+_MAX_ERROR = 1e-6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Changes:
+    """The parts of a snapshot that a release's shares change."""
+
+    shares_by_service: abc.Mapping[str, tables.Shares]
+    rollouts_by_id: abc.Mapping[str, tables.Rollout]
+    blocked: frozenset[str]
+
+
+def release(
+    old: tables.Snapshot, offset: int, record: records.ReleaseRecord
+) -> Changes:
+    """Return what the shares and withdrawals of a release change.
+
+    A running rollout of a touched service ends: it is done if it was at
+    its goal, else it is rolled back, and the new one begins from the
+    shares that it began from.
+    """
+    changes = Changes(
+        shares_by_service=old.shares_by_service,
+        rollouts_by_id=old.rollouts_by_id,
+        blocked=old.blocked,
+    )
+    for name in record.note.withdraw.services:
+        changes = _withdraw(changes, name, record.note.name)
+    for item in record.note.shares:
+        changes = _supersede(changes, item.service, record.note.name)
+        changes = _begin(changes, offset, record, item)
+    return changes
+
+
+def _withdraw(changes: Changes, service: str, release: str) -> Changes:
+    changes = _supersede(changes, service, release)
+    kept = dict(changes.shares_by_service)
+    kept.pop(service, None)
+    return dataclasses.replace(
+        changes,
+        shares_by_service=kept,
+        blocked=frozenset(
+            name
+            for name in changes.blocked
+            if name.rpartition("/")[0] != service
+        ),
+    )
+
+
+def _supersede(changes: Changes, service: str, release: str) -> Changes:
+    running = [
+        rollout
+        for rollout in changes.rollouts_by_id.values()
+        if rollout.service == service
+        and rollout.state is tables.RolloutState.RUNNING
+    ]
+    for rollout in running:
+        done = rollout.progress >= 1.0
+        how = "at the goal" if done else "before the goal"
+        ended = dataclasses.replace(
+            rollout,
+            state=tables.RolloutState.DONE
+            if done
+            else tables.RolloutState.ROLLED_BACK,
+            reason=f"superseded by release {release} {how}",
+            held_by="",
+        )
+        percent = rollout.goal if done else rollout.start
+        changes = dataclasses.replace(
+            changes,
+            rollouts_by_id={
+                **changes.rollouts_by_id,
+                rollout.rollout_id: ended,
+            },
+            shares_by_service={
+                **changes.shares_by_service,
+                service: tables.Shares(
+                    service=service, percent_by_version=percent
+                ),
+            },
+        )
+    return changes
+
+
+def _begin(
+    changes: Changes,
+    offset: int,
+    record: records.ReleaseRecord,
+    item: _notes.ShareItem,
+) -> Changes:
+    rollout = begin(changes.shares_by_service, offset, record, item)
+    percents = dict(changes.shares_by_service)
+    if rollout.state is tables.RolloutState.DONE:
+        percents[item.service] = tables.Shares(
+            service=item.service, percent_by_version=rollout.goal
+        )
+    named = {
+        f"{item.service}/{version}"
+        for version, percent in item.percent_by_version.items()
+        if percent > 0.0
+    }
+    return Changes(
+        shares_by_service=percents,
+        rollouts_by_id={
+            **changes.rollouts_by_id,
+            rollout.rollout_id: rollout,
+        },
+        blocked=changes.blocked - named,
+    )
+
 
 def begin(
-    shares: abc.Mapping[str, tables.Shares],
+    percents: abc.Mapping[str, tables.Shares],
     offset: int,
     record: records.ReleaseRecord,
     item: _notes.ShareItem,
 ) -> tables.Rollout:
     """Return the rollout that a share item asks for."""
-    current = shares.get(item.service)
+    current = percents.get(item.service)
     by_s = item.by.timestamp() if item.by else record.published_s
-    return tables.Rollout(
+    rollout = tables.Rollout(
         rollout_id=f"{record.note.name}/{item.service}",
         release=record.note.name,
         service=item.service,
@@ -25,12 +144,22 @@
         goal=item.percent_by_version,
         started_s=record.published_s,
         by_s=by_s,
-        state=tables.RolloutState.RUNNING
-        if current
-        else tables.RolloutState.DONE,
-        reason="" if current else "first version of the service",
         offset=offset,
     )
+    if current is None:
+        return _at_once(rollout, "first version of the service")
+    if not shares.rising(rollout):
+        return _at_once(rollout, "the shares are in force already")
+    return rollout
+
+
+def _at_once(rollout: tables.Rollout, reason: str) -> tables.Rollout:
+    return dataclasses.replace(
+        rollout,
+        state=tables.RolloutState.DONE,
+        reason=reason,
+        progress=1.0,
+    )
 
 
 def _running(
@@ -47,11 +176,22 @@
 def apply_shares(
     state: tables.Agreed, offset: int, record: records.ShareDecision
 ) -> tables.Agreed:
-    """Return the state after a share decision."""
+    """Return the state after a share decision.
+
+    A decision under a replaced lease, out of order, or with shares that
+    do not lie between start and goal changes nothing.
+    """
     rollout = _running(state, record.lease, record.rollout_id)
     if rollout is None or record.step != rollout.step + 1:
         return state
-    stepped = dataclasses.replace(rollout, step=record.step)
+    if not _between(rollout, record.percent_by_version):
+        return state
+    stepped = dataclasses.replace(
+        rollout,
+        step=record.step,
+        progress=_progress(rollout, record.percent_by_version),
+        held_by=record.held_by,
+    )
     return _with_rollout(
         state, offset, stepped, percent=record.percent_by_version
     )
@@ -64,15 +204,114 @@
     rollout = _running(state, record.lease, record.rollout_id)
     if rollout is None:
         return state
+    if record.done:
+        ended = dataclasses.replace(
+            rollout,
+            state=tables.RolloutState.DONE,
+            reason=record.reason,
+            progress=1.0,
+            held_by="",
+        )
+        return _with_rollout(state, offset, ended, percent=rollout.goal)
+    rises = shares.rising(rollout)
+    condemned = tuple(name for name in record.condemned if name in rises)
+    condemned = condemned or rises
     ended = dataclasses.replace(
         rollout,
-        state=tables.RolloutState.DONE
-        if record.done
-        else tables.RolloutState.ROLLED_BACK,
+        state=tables.RolloutState.ROLLED_BACK,
         reason=record.reason,
+        held_by="",
+        condemned=condemned,
+    )
+    return _with_rollout(
+        state, offset, ended, percent=shares.rolled_back(rollout, condemned)
+    )
+
+
+def trim(state: tables.Agreed) -> tables.Agreed:
+    """Move all but the newest ended rollouts out of the snapshot.
+
+    What a dropped verdict blocked is no longer listed; its versions have
+    no share.
+    """
+    old = state.snapshot.rollouts_by_id
+    dropped = _dropped(old)
+    if not dropped:
+        return state
+    kept = {
+        rollout_id: rollout
+        for rollout_id, rollout in old.items()
+        if rollout_id not in dropped
+    }
+    history = {
+        **state.ended_rollouts_by_id,
+        **{rollout_id: old[rollout_id] for rollout_id in dropped},
+    }
+    for rollout_id in list(history)[:-KEPT_IN_HISTORY]:
+        del history[rollout_id]
+    return dataclasses.replace(
+        state,
+        snapshot=dataclasses.replace(
+            state.snapshot,
+            rollouts_by_id=kept,
+            blocked=state.snapshot.blocked & _condemned(kept),
+        ),
+        ended_rollouts_by_id=history,
+    )
+
+
+def _dropped(rollouts: abc.Mapping[str, tables.Rollout]) -> list[str]:
+    ended_by_service: dict[str, list[str]] = {}
+    for rollout_id, rollout in rollouts.items():
+        if rollout.state is not tables.RolloutState.RUNNING:
+            ended_by_service.setdefault(rollout.service, []).append(rollout_id)
+    return [
+        rollout_id
+        for ids in ended_by_service.values()
+        for rollout_id in sorted(
+            ids, key=lambda rollout_id: rollouts[rollout_id].offset
+        )[:-KEPT_PER_SERVICE]
+    ]
+
+
+def _condemned(rollouts: abc.Mapping[str, tables.Rollout]) -> set[str]:
+    return {
+        f"{rollout.service}/{version}"
+        for rollout in rollouts.values()
+        for version in rollout.condemned
+    }
+
+
+def _between(
+    rollout: tables.Rollout, percents: abc.Mapping[str, float]
+) -> bool:
+    known = set(rollout.start) | set(rollout.goal)
+    if not set(percents) <= known or not all(
+        map(math.isfinite, percents.values())
+    ):
+        return False
+    if abs(sum(percents.values()) - _FULL_PERCENT) > _MAX_ERROR:
+        return False
+    for version in known:
+        ends = (
+            rollout.start.get(version, 0.0),
+            rollout.goal.get(version, 0.0),
+        )
+        percent = percents.get(version, 0.0)
+        if not min(ends) - _MAX_ERROR <= percent <= max(ends) + _MAX_ERROR:
+            return False
+    return True
+
+
+def _progress(
+    rollout: tables.Rollout, percents: abc.Mapping[str, float]
+) -> float:
+    version = shares.rising(rollout)[0]
+    start = rollout.start.get(version, 0.0)
+    way = (percents.get(version, 0.0) - start) / (
+        rollout.goal[version] - start
     )
-    percent = rollout.goal if record.done else rollout.start
-    return _with_rollout(state, offset, ended, percent=percent)
+    return 1.0 if way > 1.0 - _MAX_ERROR else way
 
 
 def _with_rollout(
@@ -82,13 +321,9 @@
     percent: abc.Mapping[str, float],
 ) -> tables.Agreed:
     old = state.snapshot
-    blocked = old.blocked
-    if rollout.state is tables.RolloutState.ROLLED_BACK:
-        blocked |= {
-            f"{rollout.service}/{version}"
-            for version in rollout.goal
-            if rollout.goal[version] > rollout.start.get(version, 0.0)
-        }
+    blocked = old.blocked | {
+        f"{rollout.service}/{version}" for version in rollout.condemned
+    }
     snapshot = dataclasses.replace(
         old,
         version=offset + 1,
@@ -101,4 +336,4 @@
         },
         blocked=blocked,
     )
-    return dataclasses.replace(state, snapshot=snapshot)
+    return trim(dataclasses.replace(state, snapshot=snapshot))
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -54,10 +54,57 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RolloutSettings:
-    """Policy for moving traffic between versions."""
+    """Policy for moving traffic between versions.
+
+    The defaults weigh speed and safety alike; see docs/design/0030 for
+    the settings of each mesh.
+
+    Attributes:
+        first_percent: First share of a new version.
+        step_s: Least time between two steps.
+        growth: Factor by which a share grows from stage to stage.
+        growth_max: Highest factor, when a rollout is behind its plan.
+        control_percent: Share that the old versions keep, to compare
+            with, until the goal is due.
+        watch_s: Time that a rollout is watched near and at its goal.
+        look_s: Interval at which outcome counts are compared.
+        report_s: Interval at which outcome counts are reported.
+        min_calls: Calls on a route that are enough evidence for a step.
+        few_calls: Calls that are enough after ``patience_s``.
+        patience_s: Time after which less evidence is enough.
+        warm_up_s: Time in which an endpoint's slow answers are ignored.
+        error_ratio: Tolerated error rate as a multiple of the old
+            version's.
+        error_floor: Error rate that is tolerated in any case, 0 to 1.
+        slow_ratio: As ``error_ratio``, for slow answers.
+        slow_floor: As ``error_floor``, for slow answers.
+        false_rollbacks: Chance to roll a good version back.
+        headroom: Part of the announced slots to plan with, 0 to 1.
+        probe_percent: Progress to fall back to when a version seems bad
+            and the old one gets too few calls to compare.
+        hold_s: Time behind the plan after which a rollout counts as held.
+    """
 
     first_percent: float = 5.0
     step_s: float = 0.5
+    growth: float = 1.6
+    growth_max: float = 4.0
+    control_percent: float = 10.0
+    watch_s: float = 8.0
+    look_s: float = 0.5
+    report_s: float = 0.5
+    min_calls: int = 30
+    few_calls: int = 5
+    patience_s: float = 1.0
+    warm_up_s: float = 2.0
+    error_ratio: float = 1.5
+    error_floor: float = 0.01
+    slow_ratio: float = 2.0
+    slow_floor: float = 0.1
+    false_rollbacks: float = 0.01
+    headroom: float = 0.8
+    probe_percent: float = 50.0
+    hold_s: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -10,13 +10,10 @@
 from arbutusstall import errors
 from arbutusstall._shell import control
 from arbutusstall._shell import http
+from arbutusstall._shell import outcome_counter
 from arbutusstall._systems import admission
-from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
-_SLOW_S = 1.0
-_SERVER_ERROR = 500
-
 
 class Inbound:
     """Runs calls at the target and counts their outcomes."""
@@ -25,11 +22,8 @@
         self,
         settings: _settings.NodeSettings,
         loop: control.ControlLoop,
-        incarnation: int,
     ) -> None:
-        self._settings = settings
-        self._loop = loop
-        self._incarnation = incarnation
+        self._counter = outcome_counter.OutcomeCounter(loop.put)
         self.admission = admission.Admission(settings.calls.slots)
         self._target: _effects.Announced | None = None
         self._server = grpc.server(
@@ -52,11 +46,13 @@
     def start(self) -> None:
         """Begin to accept calls of other nodes."""
         self._server.start()
+        self._counter.start()
 
     def stop(self, grace_s: float) -> None:
         """Refuse new calls and wait for those in flight."""
         self.admission.drain()
         self._server.stop(grace=grace_s).wait()
+        self._counter.stop()
 
     def announced(self, target: _effects.Announced) -> None:
         """Use ``target`` for calls from now on."""
@@ -78,7 +74,7 @@
             answer = self._exchange(request, target)
         finally:
             self.admission.end(request.request_id)
-        self._observe(request, answer, time.monotonic() - started_s)
+        self._counter.count(request, answer, time.monotonic() - started_s)
         return answer
 
     def _exchange(
@@ -117,27 +113,3 @@
             not_run=reason,
             retry_after_ms=retry_ms,
         )
-
-    def _observe(
-        self,
-        request: messages.CallRequest,
-        answer: messages.CallAnswer,
-        duration_s: float,
-    ) -> None:
-        failed = bool(answer.unknown) or answer.status >= _SERVER_ERROR
-        self._loop.put(
-            _effects.Observed(
-                key=outcomes.OutcomeKey(
-                    reporter=self._settings.node,
-                    incarnation=self._incarnation,
-                    service=request.service,
-                    version=request.version,
-                    route=request.route,
-                ),
-                added=outcomes.OutcomeCounts(
-                    calls=1,
-                    failures=int(failed),
-                    slow=int(duration_s > _SLOW_S),
-                ),
-            )
-        )
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -33,7 +33,7 @@
         self._loop = control.ControlLoop(
             self._core, _clock.SystemClock(), settings.tick_s
         )
-        self._inbound = inbound.Inbound(settings, self._loop, incarnation)
+        self._inbound = inbound.Inbound(settings, self._loop)
         self._outbound = outbound.Outbound(settings, self._inbound, self._log)
         self._relay = relay.Relay(settings.addresses.relay, self._loop)
         self._log_worker = log_worker.LogWorker(
--- /dev/null
+++ b/src/arbutusstall/_systems/comparison.py
@@ -0,0 +1,176 @@
+"""Sequential comparison of a new version with the one it replaces.
+
+Each interval gives one look at the counts of a route. A look is turned
+into two e-values, ratios of likelihoods whose mean is at most one while
+the new version is sound:
+
+* relative: of all bad calls of the look, how many are the new
+  version's, given its part of the calls. A fault of a shared back end
+  changes both and is no evidence.
+* absolute: how many of the new version's calls are bad, given the rate
+  that is tolerated.
+
+The logarithms are summed from the last time the sum was not positive (a
+CUSUM), so that a version that turns bad late is judged by what it does
+now. With a threshold of ``ln(looks * comparisons / alpha)`` the chance
+to condemn a sound version within that many looks is at most ``alpha``.
+"""
+
+from collections import abc
+import dataclasses
+import math
+
+from arbutusstall._tables import evidence
+
+_WORSE = (2.0, 6.0, 30.0)
+_TOWARDS_ALL = (0.08, 0.3, 0.8)
+_MOST_LOOKS = 40
+_SCARCE = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Tolerance:
+    """How much worse a version may be, and how sure to be.
+
+    Attributes:
+        ratio: Tolerated rate as a multiple of the old version's.
+        floor: Rate that is tolerated in any case, 0 to 1.
+        threshold: Log evidence that condemns.
+    """
+
+    ratio: float
+    floor: float
+    threshold: float
+
+    @property
+    def most_per_look(self) -> float:
+        """Log evidence that a single look can add.
+
+        Outcomes within one interval depend on each other (a pause, a
+        burst), so no single look condemns.
+        """
+        return self.threshold / 3.0
+
+
+def threshold(looks: int, comparisons: int, alpha: float) -> float:
+    """Return the log evidence that condemns.
+
+    Args:
+        looks: Looks that the rollout is planned to take.
+        comparisons: Routes times metrics times versions.
+        alpha: Chance to condemn a sound version in one rollout.
+    """
+    return math.log(max(looks, 1) * max(comparisons, 1) / alpha)
+
+
+def update(
+    detector: evidence.Detector,
+    look: evidence.Look,
+    tolerance: Tolerance,
+    usual: float,
+) -> evidence.Detector:
+    """Return the detector after one more look.
+
+    Args:
+        usual: Rate of bad calls of the old version so far, 0 to 1.
+    """
+    floor = min(max(tolerance.floor, usual * tolerance.ratio), 0.9)
+    return evidence.Detector(
+        relative=_add(
+            detector.relative, _relative(look, tolerance.ratio), tolerance
+        ),
+        absolute=_add(detector.absolute, _absolute(look, floor), tolerance),
+        looks=_keep(detector.looks, look),
+    )
+
+
+def is_bad(detector: evidence.Detector, tolerance: Tolerance) -> bool:
+    """Tell whether the evidence condemns the version."""
+    return min(detector.relative, detector.absolute) >= tolerance.threshold
+
+
+def is_suspect(detector: evidence.Detector, tolerance: Tolerance) -> bool:
+    """Tell whether the version is bad, with nothing to compare it to.
+
+    It is worse than the old version was, but the old one gets too few
+    calls now to exclude a fault that both share.
+    """
+    return detector.absolute >= tolerance.threshold and is_scarce(
+        detector.looks
+    )
+
+
+def is_scarce(looks: abc.Sequence[evidence.Look]) -> bool:
+    """Tell whether the old versions got few calls beside the new one."""
+    new_calls = sum(look.new_calls for look in looks)
+    old_calls = sum(look.old_calls for look in looks)
+    return old_calls * _SCARCE < new_calls
+
+
+def replay(
+    looks: abc.Iterable[evidence.Look], tolerance: Tolerance
+) -> evidence.Detector:
+    """Return the detector after ``looks`` alone."""
+    detector = evidence.Detector()
+    for look in looks:
+        detector = update(detector, look, tolerance, 0.0)
+    return detector
+
+
+def is_sound(look: evidence.Look) -> bool:
+    """Tell whether the counts of a look are possible."""
+    return (
+        0 <= look.new_bad <= look.new_calls
+        and 0 <= look.old_bad <= look.old_calls
+    )
+
+
+def _add(total: float, log_value: float, tolerance: Tolerance) -> float:
+    return max(0.0, total) + min(log_value, tolerance.most_per_look)
+
+
+def _relative(look: evidence.Look, ratio: float) -> float:
+    if not look.new_calls or not look.old_calls:
+        return 0.0
+    if not look.new_bad and not look.old_bad:
+        return 0.0
+    expected = _part(look, ratio)
+    return _log_mean(
+        [
+            look.new_bad * math.log(_part(look, ratio * worse) / expected)
+            + look.old_bad
+            * math.log((1 - _part(look, ratio * worse)) / (1 - expected))
+            for worse in _WORSE
+        ]
+    )
+
+
+def _part(look: evidence.Look, ratio: float) -> float:
+    weighted = look.new_calls * ratio
+    return weighted / (weighted + look.old_calls)
+
+
+def _absolute(look: evidence.Look, floor: float) -> float:
+    good = look.new_calls - look.new_bad
+    logs = []
+    for way in _TOWARDS_ALL:
+        rate = floor + (1.0 - floor) * way
+        logs.append(
+            look.new_bad * math.log(rate / floor)
+            + good * math.log((1.0 - rate) / (1.0 - floor))
+        )
+    return _log_mean(logs)
+
+
+def _log_mean(logs: list[float]) -> float:
+    highest = max(logs)
+    total = sum(math.exp(value - highest) for value in logs)
+    return highest + math.log(total / len(logs))
+
+
+def _keep(
+    looks: tuple[evidence.Look, ...], look: evidence.Look
+) -> tuple[evidence.Look, ...]:
+    if not look.new_calls and not look.old_calls:
+        return looks
+    return (*looks[-(_MOST_LOOKS - 1) :], look)
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -5,6 +5,8 @@
 
 from arbutusstall import _clock
 from arbutusstall import _effects
+from arbutusstall._systems import rollout_events
+from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
 from arbutusstall._tables import links
 from arbutusstall._tables import members
@@ -39,7 +41,7 @@
             event="config-in-force", fields={"version": snapshot.version}
         )
     ]
-    effects += _rollout_events(before, snapshot)
+    effects += rollout_events.between(before, snapshot)
     effects.append(view(tables))
     update = messages.SnapshotUpdate(digest=tables.digest, snapshot=snapshot)
     for link in tables.links_by_peer.values():
@@ -65,7 +67,9 @@
             serving.setdefault(member.service, []).append(member)
     return _effects.PutInForce(
         view=_effects.View(
-            snapshot=tables.snapshot,
+            snapshot=shares.override(
+                tables.snapshot, tables.rollbacks_by_version
+            ),
             members_by_service={
                 name: tuple(rows) for name, rows in serving.items()
             },
@@ -126,23 +130,3 @@
     return messages.InForce(
         version=tables.snapshot.version, known=known, in_force=in_force
     )
-
-
-def _rollout_events(
-    before: agreed.Snapshot, after: agreed.Snapshot
-) -> list[_effects.Effect]:
-    effects: list[_effects.Effect] = []
-    for rollout_id, rollout in after.rollouts_by_id.items():
-        old = before.rollouts_by_id.get(rollout_id)
-        if old is not None and old.state is rollout.state:
-            continue
-        effects.append(
-            _effects.Emit(
-                event=f"rollout-{rollout.state.value}",
-                fields={
-                    "rollout": rollout_id,
-                    "reason": rollout.reason or "-",
-                },
-            )
-        )
-    return effects
--- /dev/null
+++ b/src/arbutusstall/_systems/evidence.py
@@ -0,0 +1,321 @@
+"""Compares the versions of running rollouts by their outcome counts.
+
+Runs at every root, so that a new leader goes on with what it knows.
+Health and load that targets report about themselves are not used.
+"""
+
+from collections import abc
+import math
+
+from arbutusstall import _clock
+from arbutusstall._systems import comparison
+from arbutusstall._systems import shares
+from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
+from arbutusstall._tables import node
+from arbutusstall._tables import outcomes
+
+_LEAST_LOOKS = 240
+_METRICS = 2
+_USUAL_CALLS = 20
+_SLOW_PART = 0.05
+_SMOOTHING = 0.2
+_NOTHING = outcomes.OutcomeCounts()
+
+
+def gather(
+    tables: node.Tables,
+    key: outcomes.OutcomeKey,
+    added: outcomes.OutcomeCounts,
+    now: _clock.Instant,
+) -> None:
+    """Count calls towards the next look.
+
+    The durations of a row's first calls are left out: slow answers of a
+    cold target say nothing of its version. Its errors count.
+    """
+    rollout = _rollout_of(tables, key)
+    if rollout is None:
+        return
+    watch = tables.watches_by_rollout.setdefault(
+        rollout.rollout_id, evidence.Watch()
+    )
+    seen_s = watch.first_seen_s_by_row.setdefault(key, now.mono_s)
+    warm = now.mono_s - seen_s >= tables.settings.rollout.warm_up_s
+    if not warm and key.version in shares.rising(rollout):
+        added = added.without_durations()
+    cell = (key.version, key.route)
+    _add(watch.gathered_by_cell, cell, added)
+
+
+def run(
+    tables: node.Tables, now: _clock.Instant
+) -> list[evidence.LocalRollback]:
+    """Look at the counts that are due; return what they condemn."""
+    if not tables.is_root:
+        return []
+    running = {
+        rollout.rollout_id: rollout
+        for rollout in tables.agreed.snapshot.rollouts_by_id.values()
+        if rollout.state is agreed.RolloutState.RUNNING
+    }
+    for rollout_id in list(tables.watches_by_rollout):
+        if rollout_id not in running:
+            del tables.watches_by_rollout[rollout_id]
+    found: list[evidence.LocalRollback] = []
+    for rollout in running.values():
+        watch = tables.watches_by_rollout.setdefault(
+            rollout.rollout_id, evidence.Watch()
+        )
+        _enter(watch, rollout, now)
+        if now.mono_s >= watch.next_look_s:
+            found += _look(tables, rollout, watch, now)
+    return found
+
+
+def tolerance(
+    tables: node.Tables, rollout: agreed.Rollout, metric: evidence.Metric
+) -> comparison.Tolerance:
+    """Return the tolerance for one metric; the same at every node."""
+    policy = tables.settings.rollout
+    length_s = max(rollout.by_s - rollout.started_s, 0.0)
+    looks = math.ceil((length_s + 2 * policy.watch_s) / policy.look_s)
+    routes = len(routes_of(tables.snapshot, rollout.service))
+    threshold = comparison.threshold(
+        max(looks, _LEAST_LOOKS),
+        routes * _METRICS * len(shares.rising(rollout)),
+        policy.false_rollbacks,
+    )
+    errors = metric is evidence.Metric.ERRORS
+    return comparison.Tolerance(
+        ratio=policy.error_ratio if errors else policy.slow_ratio,
+        floor=policy.error_floor if errors else policy.slow_floor,
+        threshold=threshold,
+    )
+
+
+def routes_of(snapshot: agreed.Snapshot, service: str) -> tuple[str, ...]:
+    """Return the prefixes of the routes that lead to a service."""
+    return tuple(
+        route.prefix
+        for route in snapshot.routes_by_prefix.values()
+        if route.service == service
+    )
+
+
+def call_s(watch: evidence.Watch) -> float:
+    """Return the longest mean duration of a call of any version."""
+    counts_by_version: dict[str, outcomes.OutcomeCounts] = {}
+    for (version, _), counts in watch.totals_by_cell.items():
+        known = counts_by_version.get(version, _NOTHING)
+        counts_by_version[version] = known.plus(counts)
+    return max(
+        (counts.mean_s for counts in counts_by_version.values()),
+        default=0.0,
+    )
+
+
+def _rollout_of(
+    tables: node.Tables, key: outcomes.OutcomeKey
+) -> agreed.Rollout | None:
+    for rollout in tables.agreed.snapshot.rollouts_by_id.values():
+        if (
+            rollout.offset == key.rollout
+            and rollout.service == key.service
+            and rollout.state is agreed.RolloutState.RUNNING
+        ):
+            return rollout
+    return None
+
+
+def _enter(
+    watch: evidence.Watch, rollout: agreed.Rollout, now: _clock.Instant
+) -> None:
+    """Begin a new stage when the shares in force changed."""
+    if watch.step >= 0 and watch.progress == rollout.progress:
+        watch.step = rollout.step
+        return
+    if rollout.progress < watch.progress:
+        watch.detectors_by_key.clear()
+    watch.step = rollout.step
+    watch.progress = rollout.progress
+    watch.entered_s = now.mono_s
+    watch.entered_wall_s = now.wall_s
+    watch.stage_calls_by_cell.clear()
+    watch.suspected = None
+
+
+def _look(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> list[evidence.LocalRollback]:
+    _measure(tables, watch, now)
+    old_versions = shares.falling(rollout)
+    watch.suspected = None
+    found = []
+    for route in {route for _, route in watch.gathered_by_cell}:
+        old = _sum(watch.gathered_by_cell, old_versions, route)
+        before = _sum(watch.totals_by_cell, old_versions, route)
+        recent = watch.recent_by_route.get(route, evidence.Recent())
+        for version in shares.rising(rollout):
+            new = watch.gathered_by_cell.get((version, route), _NOTHING)
+            for metric in evidence.Metric:
+                key = evidence.DetectorKey(
+                    version=version, route=route, metric=metric
+                )
+                look = _look_at(metric, new, old, before)
+                if look is None:
+                    continue
+                usual = max(
+                    _rate(metric, before), recent.rate(metric, _USUAL_CALLS)
+                )
+                if _condemns(tables, rollout, watch, key, look, usual):
+                    found.append(_rollback(rollout, watch, key))
+        watch.recent_by_route[route] = _newer(recent, old, before)
+    for cell, counts in watch.gathered_by_cell.items():
+        _add(watch.totals_by_cell, cell, counts)
+        calls = watch.stage_calls_by_cell.get(cell, 0)
+        watch.stage_calls_by_cell[cell] = calls + counts.calls
+    watch.gathered_by_cell.clear()
+    return found
+
+
+def _measure(
+    tables: node.Tables, watch: evidence.Watch, now: _clock.Instant
+) -> None:
+    calls = sum(counts.calls for counts in watch.gathered_by_cell.values())
+    if watch.last_look_s:
+        rate = calls / max(now.mono_s - watch.last_look_s, 1e-3)
+        known = watch.calls_per_s or rate
+        watch.calls_per_s = known + (rate - known) * _SMOOTHING
+    watch.last_look_s = now.mono_s
+    watch.next_look_s = now.mono_s + tables.settings.rollout.look_s
+
+
+def _condemns(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    key: evidence.DetectorKey,
+    look: evidence.Look,
+    usual: float,
+) -> bool:
+    limit = tolerance(tables, rollout, key.metric)
+    known = watch.detectors_by_key.get(key, evidence.Detector())
+    detector = comparison.update(known, look, limit, usual)
+    watch.detectors_by_key[key] = detector
+    if comparison.is_bad(detector, limit):
+        return True
+    if comparison.is_suspect(detector, limit):
+        watch.suspected = key
+    return False
+
+
+def _rollback(
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    key: evidence.DetectorKey,
+) -> evidence.LocalRollback:
+    return evidence.LocalRollback(
+        rollout_id=rollout.rollout_id,
+        version=key.version,
+        route=key.route,
+        metric=key.metric,
+        looks=watch.detectors_by_key[key].looks,
+    )
+
+
+def suspicion(
+    rollout: agreed.Rollout, watch: evidence.Watch
+) -> evidence.LocalRollback | None:
+    """Return the rollback of the suspected version, if there is one."""
+    if watch.suspected is None:
+        return None
+    return _rollback(rollout, watch, watch.suspected)
+
+
+def _look_at(
+    metric: evidence.Metric,
+    new: outcomes.OutcomeCounts,
+    old: outcomes.OutcomeCounts,
+    before: outcomes.OutcomeCounts,
+) -> evidence.Look | None:
+    if metric is evidence.Metric.ERRORS:
+        return evidence.Look(
+            new_calls=new.calls,
+            new_bad=new.failures,
+            old_calls=old.calls,
+            old_bad=old.failures,
+        )
+    bucket = _slow_bucket(before)
+    if bucket is None:
+        return None
+    return evidence.Look(
+        new_calls=sum(new.durations),
+        new_bad=new.slower_than(bucket),
+        old_calls=sum(old.durations),
+        old_bad=old.slower_than(bucket),
+    )
+
+
+def _slow_bucket(before: outcomes.OutcomeCounts) -> int | None:
+    """Return the bucket above which an answer is slow.
+
+    It is one bucket, a factor of two, above the bucket that all but a
+    few answers of the old version fit in.
+    """
+    timed = sum(before.durations)
+    if timed < _USUAL_CALLS:
+        return None
+    for bucket in range(len(before.durations)):
+        if before.slower_than(bucket) <= timed * _SLOW_PART:
+            return bucket + 1
+    return None
+
+
+def _rate(metric: evidence.Metric, before: outcomes.OutcomeCounts) -> float:
+    if metric is evidence.Metric.SLOW:
+        return _SLOW_PART
+    if before.calls < _USUAL_CALLS:
+        return 0.0
+    return before.failures / before.calls
+
+
+def _newer(
+    recent: evidence.Recent,
+    old: outcomes.OutcomeCounts,
+    before: outcomes.OutcomeCounts,
+) -> evidence.Recent:
+    if not old.calls:
+        return recent
+    bucket = _slow_bucket(before)
+    return recent.plus(
+        calls=old.calls,
+        failures=old.failures,
+        timed=sum(old.durations),
+        slow=old.slower_than(bucket) if bucket is not None else 0,
+    )
+
+
+def _sum(
+    counts_by_cell: abc.Mapping[evidence.Cell, outcomes.OutcomeCounts],
+    versions: abc.Iterable[str],
+    route: str,
+) -> outcomes.OutcomeCounts:
+    total = _NOTHING
+    for version in versions:
+        counts = counts_by_cell.get((version, route))
+        if counts is not None:
+            total = total.plus(counts)
+    return total
+
+
+def _add(
+    counts_by_cell: dict[evidence.Cell, outcomes.OutcomeCounts],
+    cell: evidence.Cell,
+    added: outcomes.OutcomeCounts,
+) -> None:
+    known = counts_by_cell.get(cell)
+    counts_by_cell[cell] = added if known is None else known.plus(added)
--- /dev/null
+++ b/src/arbutusstall/_systems/local_rollback.py
@@ -0,0 +1,150 @@
+"""Takes traffic from a bad version at once, without the log.
+
+A node that sees a version fail gives it no traffic and tells its
+neighbours, with the looks behind it. Each receiver runs the same
+comparison over these looks, so a wrong message has no effect. A local
+rollback ends when the agreed verdict arrives, whichever it is.
+"""
+
+from collections import abc
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._systems import comparison
+from arbutusstall._systems import distribution
+from arbutusstall._systems import evidence as evidence_system
+from arbutusstall._systems import shares
+from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
+from arbutusstall._tables import node
+from arbutusstall._wire import messages
+
+_REPEAT_S = 1.0
+_MOST_LOOKS = 64
+_LITTLE_OLD_PROGRESS = 0.7
+
+
+def begin(
+    tables: node.Tables,
+    row: evidence.LocalRollback,
+    now: _clock.Instant,
+    source: str = "",
+) -> list[_effects.Effect]:
+    """Give a version no traffic from now on, if the looks condemn it.
+
+    Args:
+        source: Peer that sent the row; empty for the node itself.
+    """
+    key = (row.rollout_id, row.version)
+    if key in tables.rollbacks_by_version:
+        return []
+    if not confirms(tables, row):
+        return []
+    tables.rollbacks_by_version[key] = row
+    effects: list[_effects.Effect] = [
+        _effects.Emit(
+            event="local-rollback",
+            fields={
+                "rollout": row.rollout_id,
+                "version": row.version,
+                "route": row.route,
+                "reason": row.reason,
+                "peer": source or "-",
+            },
+        )
+    ]
+    effects += _put_in_force(tables)
+    effects += _tell(tables, [row], set(tables.links_by_peer) - {source})
+    return effects
+
+
+def on_notice(
+    tables: node.Tables,
+    peer: str,
+    message: messages.RollbackNotice,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Check the looks of a neighbour and follow it if they condemn."""
+    effects: list[_effects.Effect] = []
+    for row in message.rows:
+        effects += begin(tables, row, now, source=peer)
+    return effects
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """End local rollbacks that have a verdict; repeat the others."""
+    effects = _end(tables)
+    rows = list(tables.rollbacks_by_version.values())
+    if not rows:
+        return effects
+    peers = set(tables.links_by_peer)
+    if now.mono_s >= tables.next_rollback_s:
+        tables.next_rollback_s = now.mono_s + _REPEAT_S
+        tables.rollbacks_told = set()
+    effects += _tell(tables, rows, peers - tables.rollbacks_told)
+    tables.rollbacks_told = peers
+    return effects
+
+
+def confirms(tables: node.Tables, row: evidence.LocalRollback) -> bool:
+    """Tell whether the looks of a local rollback condemn the version.
+
+    Without enough calls of the old version beside it, the looks count
+    only if the share in force here explains that.
+    """
+    rollout = tables.snapshot.rollouts_by_id.get(row.rollout_id)
+    if rollout is None or rollout.state is not agreed.RolloutState.RUNNING:
+        return False
+    if row.version not in shares.rising(rollout):
+        return False
+    routes = evidence_system.routes_of(tables.snapshot, rollout.service)
+    if row.route not in routes or not _are_sound(row.looks):
+        return False
+    limit = evidence_system.tolerance(tables, rollout, row.metric)
+    detector = comparison.replay(row.looks, limit)
+    if comparison.is_bad(detector, limit):
+        return True
+    return rollout.progress >= _LITTLE_OLD_PROGRESS and comparison.is_suspect(
+        detector, limit
+    )
+
+
+def _are_sound(looks: abc.Sequence[evidence.Look]) -> bool:
+    return len(looks) <= _MOST_LOOKS and all(
+        comparison.is_sound(look) for look in looks
+    )
+
+
+def _end(tables: node.Tables) -> list[_effects.Effect]:
+    ended = [
+        key
+        for key in tables.rollbacks_by_version
+        if not _is_running(tables.snapshot, key[0])
+    ]
+    if not ended:
+        return []
+    for key in ended:
+        del tables.rollbacks_by_version[key]
+    return _put_in_force(tables)
+
+
+def _is_running(snapshot: agreed.Snapshot, rollout_id: str) -> bool:
+    rollout = snapshot.rollouts_by_id.get(rollout_id)
+    return rollout is not None and rollout.state is agreed.RolloutState.RUNNING
+
+
+def _put_in_force(tables: node.Tables) -> list[_effects.Effect]:
+    tables.blocked.clear()
+    for rollout_id, version in tables.rollbacks_by_version:
+        rollout = tables.snapshot.rollouts_by_id[rollout_id]
+        tables.blocked.add(f"{rollout.service}/{version}")
+    return [distribution.view(tables)]
+
+
+def _tell(
+    tables: node.Tables,
+    rows: list[evidence.LocalRollback],
+    peers: abc.Iterable[str],
+) -> list[_effects.Effect]:
+    notice = messages.RollbackNotice(rows=tuple(rows))
+    return [_effects.Send(peer=peer, message=notice) for peer in sorted(peers)]
--- a/src/arbutusstall/_systems/outcomes.py
+++ b/src/arbutusstall/_systems/outcomes.py
@@ -1,25 +1,41 @@
-"""Collects outcome counts and passes them towards the leader."""
+"""Collects outcome counts and passes them towards the roots.
+
+Rows are cumulative and belong to one running rollout, so a lost, doubled
+or reordered report changes nothing. Every root gets every row: a root's
+own subtree sends them up, and roots hand them to each other.
+"""
+
+import dataclasses
 
 from arbutusstall import _clock
 from arbutusstall import _effects
+from arbutusstall._systems import evidence
+from arbutusstall._tables import agreed
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
+_MOST_ROWS = 100_000
+_ROWS_PER_REPORT = 500
+
 
 def on_observed(
     tables: node.Tables, event: _effects.Observed, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Add counts of the own inbound proxy and report the sums."""
-    old = tables.outcomes_by_key.get(event.key, outcomes.OutcomeCounts())
-    counts = outcomes.OutcomeCounts(
-        calls=old.calls + event.added.calls,
-        failures=old.failures + event.added.failures,
-        slow=old.slow + event.added.slow,
+    """Add counts of the own inbound proxy."""
+    rollout = _running(tables, event.key.service)
+    if rollout is None or not event.added.is_sound:
+        return []
+    key = dataclasses.replace(
+        event.key,
+        reporter=tables.member.node,
+        incarnation=tables.member.incarnation,
+        rollout=rollout.offset,
     )
-    row = messages.OutcomeRow(key=event.key, counts=counts)
-    return _spread(tables, [row], skip="")
+    old = tables.outcomes_by_key.get(key, outcomes.OutcomeCounts())
+    _keep(tables, key, old.plus(event.added), "", now)
+    return []
 
 
 def on_report(
@@ -28,26 +44,107 @@
     message: messages.OutcomeReport,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Keep the highest counts of each reporter and pass news on."""
-    news = [row for row in message.rows if _is_news(tables, row)]
-    return _spread(tables, news, skip=peer)
+    """Keep the newest counts of each reporter."""
+    for row in message.rows:
+        rollout = _running(tables, row.key.service)
+        if rollout is None or rollout.offset != row.key.rollout:
+            continue
+        if _is_news(tables, row):
+            _keep(tables, row.key, row.counts, peer, now)
+    return []
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Forget rows of ended rollouts and report what is new."""
+    if now.mono_s < tables.next_outcome_report_s:
+        return []
+    tables.next_outcome_report_s = (
+        now.mono_s + tables.settings.rollout.report_s
+    )
+    _forget(tables)
+    effects: list[_effects.Effect] = []
+    above = [
+        link
+        for link in tables.links_by_peer.values()
+        if link.role is not links.LinkRole.CHILD
+    ]
+    for link in above:
+        effects += _report(tables, link)
+    tables.reported_to = {link.peer for link in above}
+    tables.outcome_news.clear()
+    return effects
+
+
+def _running(tables: node.Tables, service: str) -> agreed.Rollout | None:
+    for rollout in tables.snapshot.rollouts_by_id.values():
+        if (
+            rollout.service == service
+            and rollout.state is agreed.RolloutState.RUNNING
+        ):
+            return rollout
+    return None
 
 
 def _is_news(tables: node.Tables, row: messages.OutcomeRow) -> bool:
+    if not row.counts.is_sound:
+        return False
     known = tables.outcomes_by_key.get(row.key)
-    return known is None or row.counts.calls > known.calls
+    if known is None:
+        return len(tables.outcomes_by_key) < _MOST_ROWS
+    if row.counts.calls <= known.calls:
+        return False
+    return row.counts.minus(known).is_sound
 
 
-def _spread(
-    tables: node.Tables, rows: list[messages.OutcomeRow], skip: str
-) -> list[_effects.Effect]:
-    if not rows:
-        return []
-    for row in rows:
-        tables.outcomes_by_key[row.key] = row.counts
-    report = messages.OutcomeReport(rows=tuple(rows))
+def _keep(
+    tables: node.Tables,
+    key: outcomes.OutcomeKey,
+    counts: outcomes.OutcomeCounts,
+    source: str,
+    now: _clock.Instant,
+) -> None:
+    known = tables.outcomes_by_key.get(key, outcomes.OutcomeCounts())
+    tables.outcomes_by_key[key] = counts
+    tables.outcome_news[key] = source
+    if tables.is_root:
+        evidence.gather(tables, key, counts.minus(known), now)
+
+
+def _forget(tables: node.Tables) -> None:
+    offsets = {
+        rollout.offset
+        for rollout in tables.snapshot.rollouts_by_id.values()
+        if rollout.state is agreed.RolloutState.RUNNING
+    }
+    for key in list(tables.outcomes_by_key):
+        if key.rollout not in offsets:
+            del tables.outcomes_by_key[key]
+            tables.outcome_news.pop(key, None)
+
+
+def _report(tables: node.Tables, link: links.Link) -> list[_effects.Effect]:
+    if link.peer in tables.reported_to:
+        keys = list(tables.outcome_news)
+    else:
+        keys = list(tables.outcomes_by_key)
+    rows = [
+        messages.OutcomeRow(key=key, counts=tables.outcomes_by_key[key])
+        for key in keys
+        if not _from_above(tables, key)
+    ]
     return [
-        _effects.Send(peer=link.peer, message=report)
-        for link in tables.links_by_peer.values()
-        if link.role is not links.LinkRole.CHILD and link.peer != skip
+        _effects.Send(
+            peer=link.peer,
+            message=messages.OutcomeReport(
+                rows=tuple(rows[start : start + _ROWS_PER_REPORT])
+            ),
+        )
+        for start in range(0, len(rows), _ROWS_PER_REPORT)
     ]
+
+
+def _from_above(tables: node.Tables, key: outcomes.OutcomeKey) -> bool:
+    """Tell whether the row came from another root."""
+    source = tables.outcome_news.get(key, "")
+    link = tables.links_by_peer.get(source)
+    return link is not None and link.role is links.LinkRole.ROOT
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -1,101 +1,367 @@
-"""Moves traffic between versions while the outcomes allow it."""
+"""Moves traffic between versions while the outcomes allow it.
 
-from collections import abc
+The leader alone decides, one step at a time; the other roots keep the
+same evidence and go on from the agreed state when they take over.
+"""
 
 from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall._log import records
+from arbutusstall._systems import capacity
+from arbutusstall._systems import comparison
+from arbutusstall._systems import evidence as evidence_system
 from arbutusstall._systems import lease
+from arbutusstall._systems import local_rollback
+from arbutusstall._systems import plan
+from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
 from arbutusstall._tables import node
 
-_MIN_CALLS = 20
-_BAD_SHARE = 0.2
+HELD_BY_EVIDENCE = "evidence"
+HELD_BY_CAPACITY = "capacity"
+HELD_BY_ENDPOINTS = "endpoints"
+HELD_BY_LOG = "log"
+
+_ANSWER_S = 1.0
+_SOUND_PART = 0.25
+_LOW_PATIENCE = 5.0
+_LOW_PATIENCE_PART = 0.1
+_LATE_S = 1.0
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    """Decide the next step of each running rollout under the lease."""
-    if not lease.is_leader(tables, now):
-        return []
+    """Compare the versions of running rollouts and decide on each."""
     effects: list[_effects.Effect] = []
+    for row in evidence_system.run(tables, now):
+        effects += local_rollback.begin(tables, row, now)
+    effects += local_rollback.run(tables, now)
+    if not tables.is_root:
+        return effects
+    leads = lease.is_leader(tables, now)
     for rollout in tables.agreed.snapshot.rollouts_by_id.values():
-        if rollout.state is agreed.RolloutState.RUNNING:
-            effects += _step(tables, rollout, now)
+        if rollout.state is not agreed.RolloutState.RUNNING:
+            continue
+        watch = tables.watches_by_rollout.get(rollout.rollout_id)
+        if watch is None:
+            continue
+        if leads:
+            effects += _lead(tables, rollout, watch, now)
+        elif _log_is_out(tables, now):
+            effects += _stand_still(tables, rollout, watch, now)
     return effects
 
 
-def _step(
-    tables: node.Tables, rollout: agreed.Rollout, now: _clock.Instant
+def _lead(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    due_s = tables.next_step_s_by_rollout.get(rollout.rollout_id, 0.0)
+    due_s = tables.next_step_s_by_rollout.get(_step_id(rollout), 0.0)
     if now.mono_s < due_s:
         return []
-    policy = tables.settings.rollout
-    tables.next_step_s_by_rollout[rollout.rollout_id] = (
-        now.mono_s + policy.step_s
-    )
-    bad = _bad_versions(tables, rollout)
+    records_ = _decide(tables, rollout, watch, now)
+    if records_:
+        _forget_steps(tables)
+        tables.next_step_s_by_rollout[_step_id(rollout)] = (
+            now.mono_s + _ANSWER_S
+        )
+    return [_effects.Append(record=record) for record in records_]
+
+
+def _decide(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> list[records.Record]:
+    bad = _rolled_back(tables, rollout)
     if bad:
-        return [_verdict(tables, rollout, done=False, reason=bad)]
-    progress = _progress(rollout, now.wall_s)
-    if progress >= 1.0 and rollout.step > 0:
-        return [_verdict(tables, rollout, done=True, reason="goal reached")]
-    progress = max(progress, policy.first_percent / 100.0)
-    decision = records.ShareDecision(
-        record_id=_record_id(tables, rollout),
-        lease=tables.agreed.lease.offset,
-        rollout_id=rollout.rollout_id,
-        step=rollout.step + 1,
-        percent_by_version=_mix(rollout, min(progress, 1.0)),
+        return [
+            _verdict(
+                tables,
+                rollout,
+                done=False,
+                reason="; ".join(row.reason for row in bad),
+                condemned=tuple(sorted({row.version for row in bad})),
+            )
+        ]
+    probe = tables.settings.rollout.probe_percent / 100.0
+    if watch.suspected is not None and rollout.progress > probe:
+        return [_shares(tables, rollout, probe, HELD_BY_EVIDENCE)]
+    stage = _next_stage(tables, rollout, watch)
+    if stage is None:
+        return _finish(tables, rollout, watch, now)
+    if now.mono_s - watch.entered_s < stage.after_s:
+        return _note_hold(tables, rollout, watch, "", now)
+    progress = min(stage.progress, _most_progress(tables, rollout, watch))
+    held_by = _held_by(tables, rollout, watch, progress, now)
+    if held_by:
+        return _note_hold(tables, rollout, watch, held_by, now)
+    watch.held_by = ""
+    still = HELD_BY_CAPACITY if progress < stage.progress else ""
+    return [_shares(tables, rollout, progress, still)]
+
+
+def _next_stage(
+    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+) -> plan.Stage | None:
+    policy = tables.settings.rollout
+    return plan.next_stage(
+        rollout.progress,
+        plan.first_progress(shares.highest_rise(rollout), policy),
+        plan.control_progress(shares.ends_at_zero(rollout), policy),
+        plan.Window(started_s=rollout.started_s, by_s=rollout.by_s),
+        watch.entered_wall_s,
+        policy,
     )
-    return [_effects.Append(record=decision)]
 
 
-def _record_id(tables: node.Tables, rollout: agreed.Rollout) -> str:
-    lease_offset = tables.agreed.lease.offset
-    return f"{rollout.rollout_id}/{lease_offset}/{rollout.step + 1}"
+def _finish(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> list[records.Record]:
+    """Give the verdict after the goal was in force for a while."""
+    if now.mono_s - watch.entered_s < tables.settings.rollout.watch_s:
+        return []
+    if not _is_sound(tables, rollout, watch):
+        return _note_hold(tables, rollout, watch, HELD_BY_EVIDENCE, now)
+    late_s = watch.entered_wall_s - rollout.by_s
+    on_time = late_s <= _LATE_S or rollout.by_s <= rollout.started_s
+    reason = "goal reached" if on_time else f"goal reached {late_s:.0f} s late"
+    return [
+        _verdict(
+            tables,
+            rollout,
+            done=True,
+            reason=f"{reason}; {_summary(rollout, watch)}",
+        )
+    ]
 
 
-def _verdict(
-    tables: node.Tables, rollout: agreed.Rollout, done: bool, reason: str
-) -> _effects.Append:
-    return _effects.Append(
-        record=records.Verdict(
-            record_id=f"verdict/{_record_id(tables, rollout)}",
-            lease=tables.agreed.lease.offset,
-            rollout_id=rollout.rollout_id,
-            done=done,
-            reason=reason,
+def _summary(rollout: agreed.Rollout, watch: evidence.Watch) -> str:
+    rises = shares.rising(rollout)
+    cells = watch.totals_by_cell.items()
+    calls = sum(row.calls for cell, row in cells if cell[0] in rises)
+    failures = sum(row.failures for cell, row in cells if cell[0] in rises)
+    return f"{','.join(rises)} failed {failures} of {calls} calls"
+
+
+def _held_by(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    progress: float,
+    now: _clock.Instant,
+) -> str:
+    counts = [
+        capacity.of_version(tables, rollout.service, version)
+        for version in shares.rising(rollout)
+    ]
+    if not all(count.endpoints for count in counts):
+        return HELD_BY_ENDPOINTS
+    if progress <= rollout.progress:
+        return HELD_BY_CAPACITY
+    if rollout.progress > 0.0 and not (
+        _is_sound(tables, rollout, watch)
+        and _is_enough(tables, rollout, watch, now)
+    ):
+        return HELD_BY_EVIDENCE
+    return ""
+
+
+def _most_progress(
+    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+) -> float:
+    """Return how far the serving endpoints can carry the rollout."""
+    most = 1.0
+    call_s = evidence_system.call_s(watch)
+    for version in shares.rising(rollout):
+        percent = capacity.most_percent(
+            capacity.of_version(tables, rollout.service, version),
+            watch.calls_per_s,
+            call_s,
+            tables.settings.rollout.headroom,
         )
+        start = rollout.start.get(version, 0.0)
+        rise = rollout.goal[version] - start
+        most = min(most, (percent - start) / rise)
+    return max(most, 0.0)
+
+
+def _is_sound(
+    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+) -> bool:
+    """Tell whether no comparison points at a bad version."""
+    for key, detector in watch.detectors_by_key.items():
+        limit = evidence_system.tolerance(tables, rollout, key.metric)
+        worry = limit.threshold * _SOUND_PART
+        if min(detector.relative, detector.absolute) >= worry:
+            return False
+        if detector.absolute >= worry and comparison.is_scarce(detector.looks):
+            return False
+    return True
+
+
+def _is_enough(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> bool:
+    """Tell whether each route was seen well enough at this share."""
+    stage_s = now.mono_s - watch.entered_s
+    calls = watch.stage_calls_by_cell
+    routes = evidence_system.routes_of(tables.snapshot, rollout.service)
+    current = shares.mix(rollout.start, rollout.goal, rollout.progress)
+    for route in routes:
+        total = sum(count for cell, count in calls.items() if cell[1] == route)
+        for version in shares.rising(rollout):
+            expected = total * current[version] / 100.0
+            seen = calls.get((version, route), 0)
+            if not _is_seen(tables, rollout, seen, expected, stage_s):
+                return False
+    return True
+
+
+def _is_seen(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    seen: int,
+    expected: float,
+    stage_s: float,
+) -> bool:
+    policy = tables.settings.rollout
+    if seen >= policy.min_calls:
+        return True
+    if stage_s < policy.patience_s:
+        return False
+    if seen >= policy.few_calls:
+        return True
+    length_s = max(rollout.by_s - rollout.started_s, 0.0)
+    low_patience_s = min(
+        max(length_s * _LOW_PATIENCE_PART, policy.patience_s),
+        policy.patience_s * _LOW_PATIENCE,
     )
+    return stage_s >= low_patience_s and expected < policy.few_calls
+
 
+def _note_hold(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    held_by: str,
+    now: _clock.Instant,
+) -> list[records.Record]:
+    """Agree on what holds the rollout, once it has lasted."""
+    if held_by != watch.held_by:
+        watch.held_by = held_by
+        watch.held_since_s = now.mono_s
+    lasted_s = now.mono_s - watch.held_since_s
+    if held_by == rollout.held_by or not held_by:
+        return []
+    if lasted_s < tables.settings.rollout.hold_s:
+        return []
+    return [_shares(tables, rollout, rollout.progress, held_by)]
 
-def _progress(rollout: agreed.Rollout, wall_s: float) -> float:
-    planned_s = max(rollout.by_s - rollout.started_s, 0.001)
-    return (wall_s - rollout.started_s) / planned_s
 
+def _log_is_out(tables: node.Tables, now: _clock.Instant) -> bool:
+    age_s = now.mono_s - tables.lease_seen_s
+    return age_s >= 2 * tables.settings.lease.expire_s
 
-def _mix(rollout: agreed.Rollout, progress: float) -> abc.Mapping[str, float]:
-    versions = sorted(set(rollout.start) | set(rollout.goal))
-    return {
-        version: rollout.start.get(version, 0.0) * (1.0 - progress)
-        + rollout.goal.get(version, 0.0) * progress
-        for version in versions
-    }
 
+def _stand_still(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Do what needs no agreement while the log is out.
 
-def _bad_versions(tables: node.Tables, rollout: agreed.Rollout) -> str:
-    for key, counts in tables.outcomes_by_key.items():
-        if key.service != rollout.service:
-            continue
-        rising = rollout.goal.get(key.version, 0.0) > rollout.start.get(
-            key.version, 0.0
-        )
-        if not rising or counts.calls < _MIN_CALLS:
-            continue
-        if counts.failures > counts.calls * _BAD_SHARE:
-            return (
-                f"{key.version} failed {counts.failures} of "
-                f"{counts.calls} calls on {key.route}"
+    The share cannot be lowered to compare, so a suspicion alone rolls
+    the version back.
+    """
+    effects: list[_effects.Effect] = []
+    row = evidence_system.suspicion(rollout, watch)
+    if row is not None:
+        effects += local_rollback.begin(tables, row, now)
+    if watch.held_by != HELD_BY_LOG:
+        watch.held_by = HELD_BY_LOG
+        watch.held_since_s = now.mono_s
+        effects.append(
+            _effects.Emit(
+                event="rollout-held",
+                fields={
+                    "rollout": rollout.rollout_id,
+                    "held_by": HELD_BY_LOG,
+                },
             )
-    return ""
+        )
+    return effects
+
+
+def _rolled_back(
+    tables: node.Tables, rollout: agreed.Rollout
+) -> list[evidence.LocalRollback]:
+    return [
+        row
+        for (rollout_id, _), row in sorted(tables.rollbacks_by_version.items())
+        if rollout_id == rollout.rollout_id
+    ]
+
+
+def _step_id(rollout: agreed.Rollout) -> str:
+    return f"{rollout.rollout_id}/{rollout.step}"
+
+
+def _forget_steps(tables: node.Tables) -> None:
+    running = {
+        _step_id(rollout)
+        for rollout in tables.agreed.snapshot.rollouts_by_id.values()
+        if rollout.state is agreed.RolloutState.RUNNING
+    }
+    for step_id in list(tables.next_step_s_by_rollout):
+        if step_id not in running:
+            del tables.next_step_s_by_rollout[step_id]
+
+
+def _shares(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    progress: float,
+    held_by: str,
+) -> records.ShareDecision:
+    percents = shares.mix(rollout.start, rollout.goal, progress)
+    return records.ShareDecision(
+        record_id=_record_id(tables, rollout),
+        lease=tables.agreed.lease.offset,
+        rollout_id=rollout.rollout_id,
+        step=rollout.step + 1,
+        percent_by_version=percents,
+        held_by=held_by,
+    )
+
+
+def _verdict(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    done: bool,
+    reason: str,
+    condemned: tuple[str, ...] = (),
+) -> records.Verdict:
+    return records.Verdict(
+        record_id=f"verdict/{_record_id(tables, rollout)}",
+        lease=tables.agreed.lease.offset,
+        rollout_id=rollout.rollout_id,
+        done=done,
+        reason=reason,
+        condemned=condemned,
+    )
+
+
+def _record_id(tables: node.Tables, rollout: agreed.Rollout) -> str:
+    lease_offset = tables.agreed.lease.offset
+    return f"{rollout.rollout_id}/{lease_offset}/{rollout.step + 1}"
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -71,6 +71,12 @@
         state: Running, done or rolled back.
         reason: Why the verdict was given, empty while running.
         step: Number of share decisions so far.
+        progress: Part of the way from start to goal, 0 to 1.
+        held_by: What keeps a running rollout behind its plan:
+            ``evidence``, ``capacity``, ``endpoints`` or empty. While the
+            log is out nothing can be agreed; nodes then say ``log`` in
+            their events.
+        condemned: Versions that the verdict blocked.
         offset: Log offset of the release record.
     """
 
@@ -84,6 +90,9 @@
     state: RolloutState = RolloutState.RUNNING
     reason: str = ""
     step: int = 0
+    progress: float = 0.0
+    held_by: str = ""
+    condemned: tuple[str, ...] = ()
     offset: int = NO_OFFSET
 
 
@@ -131,8 +140,11 @@
     Attributes:
         version: Log offset of the newest record that changed it, plus
             one; zero for the empty configuration.
-        blocked: Versions that were rolled back, as
-            ``"service/version"``; they get no traffic.
+        rollouts_by_id: Running rollouts and, for each service, the
+            newest that ended.
+        blocked: Versions that the newest verdicts of each service
+            rolled back, as ``"service/version"``; they get no traffic
+            until a release names them again.
     """
 
     version: int = 0
@@ -161,6 +173,8 @@
         item_offsets_by_key: For each configuration item
             (``service/NAME``, ``route/PREFIX``, ``shares/SERVICE``) the
             offset of the record that changed it last.
+        ended_rollouts_by_id: Rollouts that ended and left the snapshot,
+            oldest first, bounded.
     """
 
     offset: int = 0
@@ -176,3 +190,6 @@
         default_factory=dict
     )
     record_ids: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    ended_rollouts_by_id: abc.Mapping[str, Rollout] = dataclasses.field(
+        default_factory=dict
+    )
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -5,6 +5,7 @@
 
 from arbutusstall import _settings
 from arbutusstall._tables import agreed as agreed_tables
+from arbutusstall._tables import evidence
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
@@ -25,6 +26,12 @@
         caught_up: Whether the log was read to its end at least once.
         lease_seen_s: Monotonic time of the last lease claim or renewal.
         blocked: Versions rolled back locally, ``"service/version"``.
+        outcome_news: Rows to report next and the peer they came from,
+            empty for the own inbound proxy.
+        reported_to: Peers that have all rows but those.
+        watches_by_rollout: Evidence on running rollouts, at roots.
+        rollbacks_by_version: Local rollbacks by rollout id and version.
+        rollbacks_told: Peers that know of all local rollbacks.
     """
 
     settings: _settings.NodeSettings
@@ -55,6 +62,19 @@
     next_report_s: float = 0.0
     next_attach_s: float = 0.0
     next_root_record_s: float = 0.0
+    outcome_news: dict[outcomes.OutcomeKey, str] = dataclasses.field(
+        default_factory=dict
+    )
+    reported_to: set[str] = dataclasses.field(default_factory=set)
+    next_outcome_report_s: float = 0.0
+    watches_by_rollout: dict[str, evidence.Watch] = dataclasses.field(
+        default_factory=dict
+    )
+    rollbacks_by_version: dict[tuple[str, str], evidence.LocalRollback] = (
+        dataclasses.field(default_factory=dict)
+    )
+    rollbacks_told: set[str] = dataclasses.field(default_factory=set)
+    next_rollback_s: float = 0.0
     next_step_s_by_rollout: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/src/arbutusstall/_tables/outcomes.py
+++ b/src/arbutusstall/_tables/outcomes.py
@@ -2,28 +2,84 @@
 
 import dataclasses
 
+BOUNDS_MS = tuple(2**power for power in range(15))
+"""Upper bounds of the duration buckets; one more bucket is unbounded."""
+
+NO_DURATIONS = (0,) * (len(BOUNDS_MS) + 1)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OutcomeKey:
-    """Names one cumulative counter row."""
+    """Names one cumulative counter row.
+
+    Attributes:
+        rollout: Log offset of the release whose rollout the row belongs
+            to; counting starts when the reporter learns of the rollout.
+    """
 
     reporter: str
     incarnation: int
     service: str
     version: str
     route: str
+    rollout: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class OutcomeCounts:
-    """Cumulative counts since the reporter started.
+    """Cumulative counts of one row.
 
     Attributes:
         calls: Finished calls.
-        failures: Calls that ended in an error of the target.
-        slow: Answers slower than the threshold of the policy.
+        failures: Calls that ended in an error of the target, or that
+            the target did not accept a connection for.
+        durations: Finished calls by duration bucket, see `BOUNDS_MS`.
     """
 
     calls: int = 0
     failures: int = 0
-    slow: int = 0
+    durations: tuple[int, ...] = NO_DURATIONS
+
+    def plus(self, other: "OutcomeCounts") -> "OutcomeCounts":
+        """Return the sum of two counts."""
+        return OutcomeCounts(
+            calls=self.calls + other.calls,
+            failures=self.failures + other.failures,
+            durations=tuple(map(int.__add__, self.durations, other.durations)),
+        )
+
+    def minus(self, other: "OutcomeCounts") -> "OutcomeCounts":
+        """Return what was added since ``other``."""
+        return OutcomeCounts(
+            calls=self.calls - other.calls,
+            failures=self.failures - other.failures,
+            durations=tuple(map(int.__sub__, self.durations, other.durations)),
+        )
+
+    def without_durations(self) -> "OutcomeCounts":
+        """Return the same calls and failures with no durations."""
+        return OutcomeCounts(calls=self.calls, failures=self.failures)
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether these can be counts of real calls."""
+        return (
+            len(self.durations) == len(NO_DURATIONS)
+            and 0 <= self.failures <= self.calls
+            and min(self.durations) >= 0
+            and sum(self.durations) <= self.calls
+        )
+
+    @property
+    def mean_s(self) -> float:
+        """Mean duration in seconds, each taken as its bucket's bound."""
+        timed = sum(self.durations)
+        if not timed:
+            return 0.0
+        bounds = (*BOUNDS_MS, 2 * BOUNDS_MS[-1])
+        total_ms = sum(map(int.__mul__, self.durations, bounds))
+        return total_ms / timed / 1000.0
+
+    def slower_than(self, bucket: int) -> int:
+        """Return how many calls lie above the bound of ``bucket``."""
+        return sum(self.durations[bucket + 1 :])
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -11,6 +11,7 @@
 
 from arbutusstall import errors
 from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
 
@@ -88,6 +89,13 @@
     rows: tuple[OutcomeRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RollbackNotice:
+    """Versions that the sender gives no traffic, with the evidence."""
+
+    rows: tuple[evidence.LocalRollback, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallRequest:
     """A caller's request on its way to the inbound proxy.
@@ -142,6 +150,7 @@
     | MemberUpdate
     | InForce
     | OutcomeReport
+    | RollbackNotice
     | CallRequest
     | CallAnswer
 )
@@ -154,6 +163,7 @@
     "members": MemberUpdate,
     "in-force": InForce,
     "outcomes": OutcomeReport,
+    "rollbacks": RollbackNotice,
     "call": CallRequest,
     "answer": CallAnswer,
 }
--- /dev/null
+++ b/tests/rollout_model.py
@@ -0,0 +1,368 @@
+"""A small model of callers and targets around real node cores.
+
+Callers draw versions and endpoints by the view of each node, as the
+outbound proxy does; targets answer by a `Behaviour`; counts go to the
+cores as the inbound proxy's do.
+"""
+
+from collections import abc
+import dataclasses
+import datetime
+import random
+
+import driver
+
+from arbutusstall import _notes
+from arbutusstall import protocols
+from arbutusstall import settings as node_settings
+from arbutusstall._log import records
+from arbutusstall._systems import routing
+from arbutusstall._tables import agreed
+from arbutusstall._tables import outcomes
+
+SERVICE = "kvoty"
+TICK_S = 0.1
+_DATA_CENTRES = ("lipno", "svet")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """How one call ended."""
+
+    failed: bool
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Situation:
+    """What a target's behaviour may depend on.
+
+    Attributes:
+        elapsed_s: Time since the release was published.
+        serving_s: Time since the endpoint's first call.
+        load: Calls per second that the version gets.
+        progress: Progress of the rollout at the leader.
+    """
+
+    version: str
+    route: str
+    elapsed_s: float
+    serving_s: float
+    load: float
+    progress: float
+
+
+Behaviour = abc.Callable[[Situation, random.Random], Answer]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Faults:
+    """What happens to the log and the leader; seconds after the release."""
+
+    log_out_s: tuple[float, float] | None = None
+    leader_paused_s: tuple[float, float] | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Setup:
+    """One run of the model; times in seconds."""
+
+    seed: int
+    behaviour: Behaviour
+    policy: node_settings.RolloutSettings = node_settings.RolloutSettings()
+    faults: Faults = Faults()
+    planned_s: float = 24.0
+    limit_s: float = 60.0
+    rate: float = 200.0
+    routes: abc.Mapping[str, float] = dataclasses.field(
+        default_factory=lambda: {"/kvoty": 0.8, "/kvoty/lake": 0.2}
+    )
+    endpoints: int = 4
+    slots: int = 40
+
+
+@dataclasses.dataclass(kw_only=True)
+class Result:
+    """What was seen in one run; times in seconds after the release.
+
+    Attributes:
+        after_bad: Calls of the new version from its first bad answer on.
+        highest_before: Highest share of the new version before the first
+            node decided to roll back, in percent.
+        at_goal_s: When all nodes had the goal in force.
+        decided_s: When the first node or the log rolled back.
+        at_zero_s: When the last node gave the new version no traffic.
+        before_enough: Highest share before the evidence was enough.
+    """
+
+    verdict: str = ""
+    reason: str = ""
+    verdict_s: float = 0.0
+    after_bad: int = 0
+    bad_answers: int = 0
+    highest_before: float = 0.0
+    at_goal_s: float = 0.0
+    decided_s: float = 0.0
+    at_zero_s: float = 0.0
+    shares: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    held_by: set[str] = dataclasses.field(default_factory=set)
+    calls: int = 0
+
+
+class Model:
+    """Two versions of one service, and a release that moves traffic."""
+
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.result = Result()
+        self.driver = driver.Driver(seed=setup.seed)
+        self.rng = random.Random(setup.seed)
+        self._node_by_name: dict[str, str] = {}
+        self._first_call_s: dict[str, float] = {}
+        self._load = 0.0
+        self._started_s = 0.0
+        self._start_nodes()
+
+    def run(self) -> Result:
+        """Publish the release and return what was seen."""
+        self._release("first", {"v1": 100.0}, 0.0)
+        self._pass(2.0)
+        self._release("move", {"v2": 100.0}, self.setup.planned_s)
+        self._started_s = self.driver.clock.now().mono_s
+        while self._elapsed_s() < self.setup.limit_s:
+            self._inject()
+            self._pass(TICK_S)
+            self._note()
+            if self.result.verdict and self._settled():
+                break
+        return self.result
+
+    def root(self) -> protocols.NodeCore:
+        """Return a root whose agreed state is the newest."""
+        return max(
+            (
+                core
+                for name, core in self.driver.cores_by_name.items()
+                if name not in self.driver.frozen
+            ),
+            key=lambda core: core.tables.agreed.offset,
+        )
+
+    def rollout(self) -> agreed.Rollout | None:
+        """Return the rollout in the newest agreed state."""
+        rollouts = self.root().tables.agreed.snapshot.rollouts_by_id
+        return rollouts.get(f"move/{SERVICE}")
+
+    def share(self, name: str) -> float:
+        """Return the percent that a node's view gives the new version."""
+        view = self.driver.views_by_name[name]
+        row = view.snapshot.shares_by_service.get(SERVICE)
+        if row is None or f"{SERVICE}/v2" in view.blocked:
+            return 0.0
+        total = sum(row.percent_by_version.values())
+        return 100.0 * row.percent_by_version.get("v2", 0.0) / total
+
+    def _start_nodes(self) -> None:
+        for index in range(2 * self.setup.endpoints):
+            version = ("v1", "v2")[index % 2]
+            name = f"{SERVICE}-{version}-{index}"
+            centre = _DATA_CENTRES[index // 2 % 2]
+            self.driver.add(_settings(name, centre, index, self.setup.policy))
+            self._node_by_name[name] = version
+        self._pass(4.0)
+        for index, (name, version) in enumerate(self._node_by_name.items()):
+            self.driver.put(
+                name,
+                protocols.Announced(
+                    service=SERVICE,
+                    version=version,
+                    address=f"10.1.0.{index}:80",
+                    slots=self.setup.slots,
+                ),
+            )
+        self._pass(2.0)
+
+    def _release(
+        self, name: str, percents: dict[str, float], in_s: float
+    ) -> None:
+        now = self.driver.clock.now()
+        first = name == "first"
+        note = _notes.ReleaseNote(
+            name=name,
+            add=_notes.Items(
+                services=(_notes.ServiceItem(name=SERVICE),),
+                routes=tuple(
+                    _notes.RouteItem(prefix=prefix, service=SERVICE)
+                    for prefix in self.setup.routes
+                ),
+            )
+            if first
+            else _notes.Items(),
+            shares=(
+                _notes.ShareItem(
+                    service=SERVICE,
+                    percent_by_version=percents,
+                    by=_time(now.wall_s + in_s),
+                ),
+            ),
+        )
+        offsets = self.root().tables.agreed.item_offsets_by_key
+        key = f"shares/{SERVICE}"
+        seen = {} if first else {key: offsets[key]}
+        self.driver.append(
+            records.ReleaseRecord(
+                record_id=f"release/{name}",
+                note=note,
+                digest=name,
+                published_s=now.wall_s,
+                seen=seen,
+            )
+        )
+
+    def _elapsed_s(self) -> float:
+        return self.driver.clock.now().mono_s - self._started_s
+
+    def _inject(self) -> None:
+        faults = self.setup.faults
+        elapsed_s = self._elapsed_s()
+        if faults.log_out_s:
+            start_s, end_s = faults.log_out_s
+            self.driver.log_out = start_s <= elapsed_s < end_s
+        if faults.leader_paused_s:
+            start_s, end_s = faults.leader_paused_s
+            paused = start_s <= elapsed_s < end_s
+            if paused and not self.driver.frozen:
+                self.driver.frozen.add(self.root().tables.agreed.lease.holder)
+            if not paused:
+                self.driver.frozen.clear()
+
+    def _pass(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self._call()
+            self.driver.run(TICK_S)
+
+    def _call(self) -> None:
+        expected = self.setup.rate * TICK_S
+        count = int(expected) + (self.rng.random() < expected % 1)
+        rows: dict[tuple[str, str], outcomes.OutcomeCounts] = {}
+        names = list(self.driver.views_by_name)
+        moved = 0
+        for _ in range(count if names else 0):
+            view = self.driver.views_by_name[self.rng.choice(names)]
+            route = self.rng.choices(
+                list(self.setup.routes), list(self.setup.routes.values())
+            )[0]
+            version = routing.choose_version(view, SERVICE, self.rng)
+            if version is None:
+                continue
+            member = routing.choose_endpoint(
+                view, SERVICE, version, "", self.rng
+            )
+            answer = self._answer(member.node, version, route)
+            moved += version == "v2"
+            cell = (member.node, route)
+            known = rows.get(cell, outcomes.OutcomeCounts())
+            rows[cell] = known.plus(_counts(answer))
+        self._load += (moved / TICK_S - self._load) * 0.3
+        for (name, route), added in rows.items():
+            key = outcomes.OutcomeKey(
+                reporter=name,
+                incarnation=0,
+                service=SERVICE,
+                version=self._node_by_name[name],
+                route=route,
+            )
+            self.driver.put(name, protocols.Observed(key=key, added=added))
+
+    def _answer(self, name: str, version: str, route: str) -> Answer:
+        elapsed_s = self._elapsed_s() if self._started_s else -1.0
+        first_s = self._first_call_s.setdefault(name, elapsed_s)
+        rollout = self.rollout()
+        situation = Situation(
+            version=version,
+            route=route,
+            elapsed_s=elapsed_s,
+            serving_s=elapsed_s - first_s,
+            load=self._load,
+            progress=rollout.progress if rollout else 0.0,
+        )
+        answer = self.setup.behaviour(situation, self.rng)
+        if version == "v2":
+            self._count(answer)
+        return answer
+
+    def _count(self, answer: Answer) -> None:
+        bad = answer.failed or answer.duration_s > 0.05
+        self.result.calls += 1
+        self.result.bad_answers += bad
+        if self.result.bad_answers:
+            self.result.after_bad += 1
+
+    def _note(self) -> None:
+        result = self.result
+        elapsed_s = self._elapsed_s()
+        rollout = self.rollout()
+        percents = [self.share(name) for name in self.driver.views_by_name]
+        result.shares.append((elapsed_s, max(percents)))
+        if rollout is not None:
+            result.held_by.add(rollout.held_by)
+            state = rollout.state
+            if state is not agreed.RolloutState.RUNNING and not result.verdict:
+                result.verdict = state.value
+                result.reason = rollout.reason
+                result.verdict_s = elapsed_s
+        braked = any(
+            core.tables.rollbacks_by_version
+            for core in self.driver.cores_by_name.values()
+        )
+        if not result.decided_s and (
+            braked or result.verdict == "rolled-back"
+        ):
+            result.decided_s = elapsed_s
+        if not result.decided_s:
+            result.highest_before = max(result.highest_before, max(percents))
+        if result.decided_s and not result.at_zero_s and not max(percents):
+            result.at_zero_s = elapsed_s
+        if not result.at_goal_s and min(percents) >= 100.0:
+            result.at_goal_s = elapsed_s
+
+    def _settled(self) -> bool:
+        if self.result.verdict == "done":
+            return True
+        return bool(self.result.at_zero_s)
+
+
+def _settings(
+    name: str,
+    centre: str,
+    index: int,
+    policy: node_settings.RolloutSettings,
+) -> node_settings.NodeSettings:
+    base = f"10.0.0.{index}"
+    return node_settings.NodeSettings(
+        node=name,
+        data_centre=centre,
+        addresses=node_settings.AddressSettings(
+            callers=f"{base}:1",
+            inbound=f"{base}:2",
+            relay=f"{base}:3",
+            admin=f"{base}:4",
+        ),
+        log=node_settings.LogSettings(url="http://log"),
+        relay=node_settings.RelaySettings(roots=2),
+        rollout=policy,
+    )
+
+
+def _counts(answer: Answer) -> outcomes.OutcomeCounts:
+    durations = list(outcomes.NO_DURATIONS)
+    duration_ms = answer.duration_s * 1000.0
+    bucket = sum(bound < duration_ms for bound in outcomes.BOUNDS_MS)
+    durations[bucket] = 1
+    return outcomes.OutcomeCounts(
+        calls=1, failures=int(answer.failed), durations=tuple(durations)
+    )
+
+
+def _time(wall_s: float) -> datetime.datetime:
+    return datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
