Judge sparse and late evidence of a rollout

Cause: looks with calls of one version only compared nothing, so few calls never condemned; at a full share the comparison had nothing to compare with; slow answers within a factor of four were not seen. Change: a look waits up to 2 s for 20 calls; a suspicion at a full share lowers it to 20 percent to compare, a second one condemns; buckets by the square root of two; only calls of warm endpoints are enough.

--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -103,7 +103,7 @@
     slow_floor: float = 0.1
     false_rollbacks: float = 0.01
     headroom: float = 0.8
-    probe_percent: float = 50.0
+    probe_percent: float = 20.0
     hold_s: float = 1.0
 
 
--- a/src/arbutusstall/_systems/comparison.py
+++ b/src/arbutusstall/_systems/comparison.py
@@ -25,6 +25,7 @@
 _WORSE = (2.0, 6.0, 30.0)
 _TOWARDS_ALL = (0.08, 0.3, 0.8)
 _MOST_LOOKS = 40
+_NEWEST_LOOKS = 6
 _SCARCE = 3
 
 
@@ -101,9 +102,10 @@
 
 
 def is_scarce(looks: abc.Sequence[evidence.Look]) -> bool:
-    """Tell whether the old versions got few calls beside the new one."""
-    new_calls = sum(look.new_calls for look in looks)
-    old_calls = sum(look.old_calls for look in looks)
+    """Tell whether the old versions lately got few calls to compare."""
+    newest = looks[-_NEWEST_LOOKS:]
+    new_calls = sum(look.new_calls for look in newest)
+    old_calls = sum(look.old_calls for look in newest)
     return old_calls * _SCARCE < new_calls
 
 
--- a/src/arbutusstall/_systems/evidence.py
+++ b/src/arbutusstall/_systems/evidence.py
@@ -20,6 +20,8 @@
 _USUAL_CALLS = 20
 _SLOW_PART = 0.05
 _SMOOTHING = 0.2
+_LOOK_CALLS = 20
+_LOOK_WAIT_S = 2.0
 _NOTHING = outcomes.OutcomeCounts()
 
 
@@ -46,6 +48,7 @@
         added = added.without_durations()
     cell = (key.version, key.route)
     _add(watch.gathered_by_cell, cell, added)
+    watch.calls += added.calls
 
 
 def run(
@@ -137,6 +140,7 @@
         return
     if rollout.progress < watch.progress:
         watch.detectors_by_key.clear()
+        watch.probes += 1
     watch.step = rollout.step
     watch.progress = rollout.progress
     watch.entered_s = now.mono_s
@@ -152,44 +156,79 @@
     now: _clock.Instant,
 ) -> list[evidence.LocalRollback]:
     _measure(tables, watch, now)
-    old_versions = shares.falling(rollout)
     watch.suspected = None
     found = []
-    for route in {route for _, route in watch.gathered_by_cell}:
-        old = _sum(watch.gathered_by_cell, old_versions, route)
-        before = _sum(watch.totals_by_cell, old_versions, route)
-        recent = watch.recent_by_route.get(route, evidence.Recent())
-        for version in shares.rising(rollout):
-            new = watch.gathered_by_cell.get((version, route), _NOTHING)
-            for metric in evidence.Metric:
-                key = evidence.DetectorKey(
-                    version=version, route=route, metric=metric
-                )
-                look = _look_at(metric, new, old, before)
-                if look is None:
-                    continue
-                usual = max(
-                    _rate(metric, before), recent.rate(metric, _USUAL_CALLS)
-                )
-                if _condemns(tables, rollout, watch, key, look, usual):
-                    found.append(_rollback(rollout, watch, key))
-        watch.recent_by_route[route] = _newer(recent, old, before)
-    for cell, counts in watch.gathered_by_cell.items():
-        _add(watch.totals_by_cell, cell, counts)
-        calls = watch.stage_calls_by_cell.get(cell, 0)
-        watch.stage_calls_by_cell[cell] = calls + counts.calls
-    watch.gathered_by_cell.clear()
+    for route in sorted({route for _, route in watch.gathered_by_cell}):
+        if _is_due(watch, route, now):
+            found += _look_at_route(tables, rollout, watch, route)
+            _close(watch, route)
+            watch.looked_s_by_route[route] = now.mono_s
+    return found
+
+
+def _is_due(watch: evidence.Watch, route: str, now: _clock.Instant) -> bool:
+    """Tell whether a route has enough calls, or has waited for them.
+
+    With few calls most short intervals would hold those of one version
+    only and compare nothing.
+    """
+    looked_s = watch.looked_s_by_route.setdefault(route, now.mono_s)
+    calls = sum(
+        counts.calls
+        for cell, counts in watch.gathered_by_cell.items()
+        if cell[1] == route
+    )
+    return calls >= _LOOK_CALLS or now.mono_s - looked_s >= _LOOK_WAIT_S
+
+
+def _look_at_route(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    route: str,
+) -> list[evidence.LocalRollback]:
+    found = []
+    old_versions = shares.falling(rollout)
+    old = _sum(watch.gathered_by_cell, old_versions, route)
+    before = _sum(watch.totals_by_cell, old_versions, route)
+    recent = watch.recent_by_route.get(route, evidence.Recent())
+    for version in shares.rising(rollout):
+        new = watch.gathered_by_cell.get((version, route), _NOTHING)
+        for metric in evidence.Metric:
+            key = evidence.DetectorKey(
+                version=version, route=route, metric=metric
+            )
+            look = _look_at(metric, new, old, before)
+            if look is None:
+                continue
+            usual = max(
+                _rate(metric, before), recent.rate(metric, _USUAL_CALLS)
+            )
+            if _condemns(tables, rollout, watch, key, look, usual):
+                found.append(_rollback(rollout, watch, key))
+    watch.recent_by_route[route] = _newer(recent, old, before)
     return found
 
 
+def _close(watch: evidence.Watch, route: str) -> None:
+    """Add what a look has used to the sums of the rollout."""
+    used = [cell for cell in watch.gathered_by_cell if cell[1] == route]
+    for cell in used:
+        counts = watch.gathered_by_cell.pop(cell)
+        _add(watch.totals_by_cell, cell, counts)
+        # Calls of a cold target do not tell whether it is slow.
+        warm = watch.stage_calls_by_cell.get(cell, 0)
+        watch.stage_calls_by_cell[cell] = warm + sum(counts.durations)
+
+
 def _measure(
     tables: node.Tables, watch: evidence.Watch, now: _clock.Instant
 ) -> None:
-    calls = sum(counts.calls for counts in watch.gathered_by_cell.values())
     if watch.last_look_s:
-        rate = calls / max(now.mono_s - watch.last_look_s, 1e-3)
+        rate = watch.calls / max(now.mono_s - watch.last_look_s, 1e-3)
         known = watch.calls_per_s or rate
         watch.calls_per_s = known + (rate - known) * _SMOOTHING
+    watch.calls = 0
     watch.last_look_s = now.mono_s
     watch.next_look_s = now.mono_s + tables.settings.rollout.look_s
 
@@ -263,15 +302,14 @@
 def _slow_bucket(before: outcomes.OutcomeCounts) -> int | None:
     """Return the bucket above which an answer is slow.
 
-    It is one bucket, a factor of two, above the bucket that all but a
-    few answers of the old version fit in.
+    All but a few answers of the old version lie below its bound.
     """
     timed = sum(before.durations)
     if timed < _USUAL_CALLS:
         return None
     for bucket in range(len(before.durations)):
         if before.slower_than(bucket) <= timed * _SLOW_PART:
-            return bucket + 1
+            return bucket
     return None
 
 
--- a/src/arbutusstall/_systems/plan.py
+++ b/src/arbutusstall/_systems/plan.py
@@ -13,6 +13,7 @@
 
 _WATCH_PART = 0.2
 _MARGIN_PART = 0.04
+_MOST_MARGIN_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,7 +89,7 @@
         return None
     if progress < first:
         return Stage(progress=first, after_s=0.0)
-    margin_s = window.length_s * _MARGIN_PART
+    margin_s = min(window.length_s * _MARGIN_PART, _MOST_MARGIN_S)
     if progress >= control:
         left_s = window.by_s - margin_s - entered_s
         return Stage(progress=1.0, after_s=max(left_s, policy.step_s))
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -24,7 +24,7 @@
 HELD_BY_LOG = "log"
 
 _ANSWER_S = 1.0
-_SOUND_PART = 0.25
+_SOUND_PART = 0.12
 _LOW_PATIENCE = 5.0
 _LOW_PATIENCE_PART = 0.1
 _LATE_S = 1.0
@@ -35,6 +35,7 @@
     effects: list[_effects.Effect] = []
     for row in evidence_system.run(tables, now):
         effects += local_rollback.begin(tables, row, now)
+    effects += _condemn_again(tables, now)
     effects += local_rollback.run(tables, now)
     if not tables.is_root:
         return effects
@@ -52,6 +53,25 @@
     return effects
 
 
+def _condemn_again(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Roll back versions that are suspected again after a comparison.
+
+    At a lowered share they were as good as the old version, so it is the
+    load they cannot stand.
+    """
+    effects: list[_effects.Effect] = []
+    for rollout in tables.agreed.snapshot.rollouts_by_id.values():
+        watch = tables.watches_by_rollout.get(rollout.rollout_id)
+        if watch is None or not watch.probes:
+            continue
+        row = evidence_system.suspicion(rollout, watch)
+        if row is not None:
+            effects += local_rollback.begin(tables, row, now)
+    return effects
+
+
 def _lead(
     tables: node.Tables,
     rollout: agreed.Rollout,
--- a/src/arbutusstall/_tables/evidence.py
+++ b/src/arbutusstall/_tables/evidence.py
@@ -125,8 +125,9 @@
     Attributes:
         gathered_by_cell: Counts since the last look.
         totals_by_cell: Counts since the rollout began.
-        stage_calls_by_cell: Calls since the present step.
+        stage_calls_by_cell: Calls of warm endpoints in this stage.
         first_seen_s_by_row: When a row came in first, monotonic time.
+        looked_s_by_route: When a route was looked at last.
         recent_by_route: What the old versions did lately.
         step: The newest step seen here.
         progress: The progress in force since ``entered_s``.
@@ -136,9 +137,14 @@
             one has been, with too few calls to compare at this time.
         held_by: What holds the rollout as this node sees it.
         held_since_s: Monotonic time since when.
+        probes: How often the share was lowered to compare.
+        calls: Calls since the rate was measured last.
         calls_per_s: Smoothed rate of all calls of the service.
     """
 
+    looked_s_by_route: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     recent_by_route: dict[str, Recent] = dataclasses.field(
         default_factory=dict
     )
@@ -166,4 +172,6 @@
     suspected: DetectorKey | None = None
     held_by: str = ""
     held_since_s: float = 0.0
+    probes: int = 0
+    calls: int = 0
     calls_per_s: float = 0.0
--- a/src/arbutusstall/_tables/outcomes.py
+++ b/src/arbutusstall/_tables/outcomes.py
@@ -1,8 +1,9 @@
 """Counts of call outcomes at the inbound proxies."""
 
 import dataclasses
+import operator
 
-BOUNDS_MS = tuple(2**power for power in range(15))
+BOUNDS_MS = tuple(round(2.0 ** (half / 2), 3) for half in range(29))
 """Upper bounds of the duration buckets; one more bucket is unbounded."""
 
 NO_DURATIONS = (0,) * (len(BOUNDS_MS) + 1)
@@ -45,7 +46,9 @@
         return OutcomeCounts(
             calls=self.calls + other.calls,
             failures=self.failures + other.failures,
-            durations=tuple(map(int.__add__, self.durations, other.durations)),
+            durations=tuple(
+                map(operator.add, self.durations, other.durations)
+            ),
         )
 
     def minus(self, other: "OutcomeCounts") -> "OutcomeCounts":
@@ -53,7 +56,9 @@
         return OutcomeCounts(
             calls=self.calls - other.calls,
             failures=self.failures - other.failures,
-            durations=tuple(map(int.__sub__, self.durations, other.durations)),
+            durations=tuple(
+                map(operator.sub, self.durations, other.durations)
+            ),
         )
 
     def without_durations(self) -> "OutcomeCounts":
@@ -77,7 +82,7 @@
         if not timed:
             return 0.0
         bounds = (*BOUNDS_MS, 2 * BOUNDS_MS[-1])
-        total_ms = sum(map(int.__mul__, self.durations, bounds))
+        total_ms = sum(map(operator.mul, self.durations, bounds))
         return total_ms / timed / 1000.0
 
     def slower_than(self, bucket: int) -> int:
