--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -81,9 +81,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Left:
-    """The target beside this node leaves, or the node itself stops."""
+    """The target beside this node leaves, or the node itself stops.
+
+    Attributes:
+        stopping: Whether the whole node stops.
+    """
 
     reason: str
+    stopping: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,6 +99,13 @@
     added: outcomes.OutcomeCounts
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetCrashed:
+    """The target beside this node crashed with requests in flight."""
+
+    suspects: tuple[messages.Suspect, ...]
+
+
 Event = (
     LogRead
     | LogFailed
@@ -103,6 +115,7 @@
     | Announced
     | Left
     | Observed
+    | TargetCrashed
 )
 
 
@@ -135,7 +148,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Disconnect:
-    """Close the stream to ``peer``."""
+    """Close the stream to ``peer`` after what was sent before.
+
+    Attributes:
+        peer: Node id, or the address of an attempt without an answer.
+
+    The other side gets `LinkLost`; this one does not.
+    """
 
     peer: str
 
@@ -173,6 +192,13 @@
     view: View
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspected:
+    """Run these requests with care from now on."""
+
+    rows: tuple[messages.Suspect, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Emit:
     """Write an event line to the process log."""
@@ -191,5 +217,6 @@
     | Disconnect
     | Send
     | PutInForce
+    | Suspected
     | Emit
 )
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -43,15 +43,14 @@
         blocked=old.blocked,
     )
     for name in record.note.withdraw.services:
-        changes = _withdraw(changes, name, record.note.name)
+        changes = _withdraw(changes, name)
     for item in record.note.shares:
         changes = _supersede(changes, item.service, record.note.name)
         changes = _begin(changes, offset, record, item)
     return changes
 
 
-def _withdraw(changes: Changes, service: str, release: str) -> Changes:
-    changes = _supersede(changes, service, release)
+def _withdraw(changes: Changes, service: str) -> Changes:
     kept = dict(changes.shares_by_service)
     kept.pop(service, None)
     return dataclasses.replace(
@@ -243,12 +242,12 @@
         for rollout_id, rollout in old.items()
         if rollout_id not in dropped
     }
-    history = {
-        **state.ended_rollouts_by_id,
-        **{rollout_id: old[rollout_id] for rollout_id in dropped},
-    }
-    for rollout_id in list(history)[:-KEPT_IN_HISTORY]:
-        del history[rollout_id]
+    history = [
+        *state.ended_rollouts_by_id.values(),
+        *(old[rollout_id] for rollout_id in dropped),
+    ]
+    # A state read from a checkpoint has no order of its own.
+    history.sort(key=lambda rollout: (rollout.offset, rollout.rollout_id))
     return dataclasses.replace(
         state,
         snapshot=dataclasses.replace(
@@ -256,7 +255,10 @@
             rollouts_by_id=kept,
             blocked=state.snapshot.blocked & _condemned(kept),
         ),
-        ended_rollouts_by_id=history,
+        ended_rollouts_by_id={
+            rollout.rollout_id: rollout
+            for rollout in history[-KEPT_IN_HISTORY:]
+        },
     )
 
 
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -104,22 +104,67 @@
         offset: Log offset of the accepted claim, the fencing token.
         holder: Node id of the leader.
         renewed: Log offset of the newest claim or renewal.
+        renewed_by: Record id of the newest claim or renewal.
+        sequence: Number of the newest renewal; zero for the claim.
     """
 
     offset: int = NO_LEASE
     holder: str = ""
     renewed: int = NO_LEASE
+    renewed_by: str = ""
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Checkpoint:
+    """An encoding of the agreed state that the leader put on the log.
+
+    Attributes:
+        through: Offset of the first record that the state lacks.
+        digest: Hash of the encoded state.
+        lease: Lease under which it was begun.
+        made_s: When it was begun, seconds since the epoch.
+        count: Number of its chunks; zero until the first was folded.
+        accepted: One bit for each chunk that was folded.
+    """
+
+    through: int
+    digest: str
+    lease: int
+    made_s: float
+    count: int = 0
+    accepted: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether all chunks are on the log."""
+        return self.count > 0 and self.accepted == (1 << self.count) - 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Root:
-    """A root relay that reads the log for its data centre."""
+    """A root relay that reads the log for its data centre.
+
+    Attributes:
+        incarnation: Of the node process that claimed the seat.
+        seat: Number of the seat within the data centre.
+        offset: Log offset of the accepted claim.
+        renewed: Log offset of the newest claim or renewal.
+    """
 
     node: str
     data_centre: str
     address: str
     admin: str
+    incarnation: int
+    seat: int
     offset: int
+    renewed: int
+
+
+def seat_key(data_centre: str, seat: int) -> str:
+    """Return the key of a root seat."""
+    return f"{data_centre}/{seat}"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -131,6 +176,7 @@
     state: ReleaseState
     reason: str
     offset: int
+    record_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -174,7 +220,14 @@
             (``service/NAME``, ``route/PREFIX``, ``shares/SERVICE``) the
             offset of the record that changed it last.
         ended_rollouts_by_id: Rollouts that ended and left the snapshot,
-            oldest first, bounded.
+            bounded.
+        releases_by_name: Outcomes of the newest releases.
+        forgotten_to: Offset of the newest release whose outcome is no
+            longer kept; a release that was written earlier is refused.
+        forgotten_names: Hashes of the names of such releases, in batches,
+            the newest last.
+        begun: The checkpoint whose chunks are still awaited.
+        checkpoint: The newest whole checkpoint.
     """
 
     offset: int = 0
@@ -186,10 +239,13 @@
         default_factory=dict
     )
     lease: Lease = dataclasses.field(default_factory=Lease)
-    roots_by_node: abc.Mapping[str, Root] = dataclasses.field(
+    roots_by_seat: abc.Mapping[str, Root] = dataclasses.field(
         default_factory=dict
     )
-    record_ids: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    forgotten_to: int = NO_OFFSET
+    forgotten_names: tuple[frozenset[int], ...] = ()
+    begun: Checkpoint | None = None
+    checkpoint: Checkpoint | None = None
     ended_rollouts_by_id: abc.Mapping[str, Rollout] = dataclasses.field(
         default_factory=dict
     )
--- a/src/arbutusstall/_tables/outcomes.py
+++ b/src/arbutusstall/_tables/outcomes.py
@@ -82,7 +82,7 @@
         if not timed:
             return 0.0
         bounds = (*BOUNDS_MS, 2 * BOUNDS_MS[-1])
-        total_ms = sum(map(operator.mul, self.durations, bounds))
+        total_ms: float = sum(map(operator.mul, self.durations, bounds))
         return total_ms / timed / 1000.0
 
     def slower_than(self, bucket: int) -> int:
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -5,7 +5,9 @@
 
 from collections import abc
 import dataclasses
+import enum
 from typing import Any
+import zlib
 
 import msgspec
 
@@ -14,11 +16,21 @@
 from arbutusstall._tables import evidence
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import relay
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Hello:
-    """First message of a child to the parent it attaches to."""
+    """First message of a child to the parent it attaches to.
+
+    Attributes:
+        address: Relay address of the sender.
+        version: Configuration that the sender has in force.
+        digest: Its digest.
+        root: Whether the sender is a root that links to another.
+        label: Position in the tree if the sender has children, else -1.
+        tier: Level that suits the sender; roots admit the first only.
+    """
 
     node: str
     data_centre: str
@@ -26,13 +38,23 @@
     version: int
     digest: str
     root: bool = False
+    label: int = -1
+    tier: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Welcome:
-    """Accepts a child."""
+    """Accepts a child.
+
+    Attributes:
+        label: Position of the sender in the tree.
+        local_size: Members of the data centre that the sender knows.
+    """
 
     node: str
+    data_centre: str = ""
+    label: int = 0
+    local_size: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,6 +69,74 @@
     node: str
     retry_after_s: float
     others: tuple[str, ...] = ()
+    local_size: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """Shows that the link works and what the sender's place is.
+
+    Attributes:
+        attached: Whether the sender's chain of parents reaches a root.
+        members: XOR of the hashes of the sender's live member rows.
+    """
+
+    attached: bool
+    label: int
+    version: int
+    members: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SeatsUpdate:
+    """The root seats of the data centre, on their way down."""
+
+    roots: tuple[agreed.Root, ...]
+    vacant: tuple[relay.VacantSeat, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotDelta:
+    """The difference between two configurations.
+
+    Attributes:
+        base: Version that the difference applies to.
+        digest: Digest of the result.
+        changed: The result, with only the entries that are new or
+            differ in its mappings.
+        removed: Keys of the entries to remove, by field.
+    """
+
+    base: int
+    digest: str
+    changed: agreed.Snapshot
+    removed: abc.Mapping[str, tuple[str, ...]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SnapshotWanted:
+    """Asks for the configuration if it is newer than ``version``."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberDigest:
+    """Hashes of the member table by bucket.
+
+    Attributes:
+        reply: Whether the receiver answers with its own digest.
+    """
+
+    buckets: tuple[int, ...]
+    reply: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Alive:
+    """Nodes at and below the sender, on their way to the roots."""
+
+    nodes: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,11 +156,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InForce:
-    """Sums up which nodes at and below the sender have a version."""
+    """Sums up which nodes at and below the sender have a version.
+
+    Attributes:
+        minimum: Oldest version that one of them has in force.
+        lacking: Some of those that lack ``version``.
+    """
 
     version: int
     known: int
     in_force: int
+    minimum: int = 0
     lacking: tuple[str, ...] = ()
 
 
@@ -98,15 +194,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallRequest:
-    """A caller's request on its way to the inbound proxy.
+    """One attempt to run a caller's request at an inbound proxy.
 
     Attributes:
+        call_id: Unique to this attempt.
+        request_id: The caller's own id, passed on to the target.
+        incarnation: Incarnation of the inbound proxy it is aimed at.
+        sent_ms: Lower bound of the inbound's clock when it was sent.
         deadline_ms: Time left to the caller's deadline.
         route: Prefix of the matched route.
         version: Version of the service the caller's proxy chose.
+        key: The caller's Idempotency-Key, empty if there is none.
+        depth: Number of calls above this one in the chain.
     """
 
+    call_id: str
     request_id: str
+    incarnation: int
+    sent_ms: int
     service: str
     version: str
     route: str
@@ -129,9 +234,12 @@
         unknown: Reason why it is not known whether it was executed.
         in_flight: Requests at the target when the answer left.
         slots: Requests that the target runs at once.
+        incarnation: Incarnation of the inbound proxy.
+        clock_ms: The inbound proxy's clock when the answer left.
     """
 
-    request_id: str
+    call_id: str
+    request_id: str = ""
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
@@ -140,6 +248,86 @@
     retry_after_ms: int = 0
     in_flight: int = 0
     slots: int = 0
+    incarnation: int = 0
+    clock_ms: int = 0
+
+
+class RevokeState(enum.Enum):
+    """What a revocation found."""
+
+    REVOKED = "revoked"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRevoke:
+    """Asks that a call never starts, or for what became of it.
+
+    Attributes:
+        wait_ms: How long to wait for the end of a call that runs.
+        cancel: Whether to break off a call that runs.
+    """
+
+    call_id: str
+    incarnation: int
+    sent_ms: int
+    wait_ms: int = 0
+    cancel: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallRevoked:
+    """Answer to a revocation.
+
+    Attributes:
+        answer: The target's answer, if the call is finished and its
+            answer is still kept.
+    """
+
+    call_id: str
+    state: RevokeState
+    answer: CallAnswer | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallGreeting:
+    """Asks an inbound proxy for its incarnation and clock."""
+
+    node: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallGreeted:
+    """Answer to a greeting; the fields are those of `CallAnswer`."""
+
+    incarnation: int
+    clock_ms: int
+    in_flight: int = 0
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspect:
+    """A request that was in flight when a target crashed.
+
+    Attributes:
+        fingerprint: Digest of method, path, body and key.
+        crash: Names one crash of one target.
+        expires_s: Seconds since the epoch.
+    """
+
+    fingerprint: str
+    crash: str
+    expires_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SuspectReport:
+    """Suspects on their way to all nodes."""
+
+    rows: tuple[Suspect, ...]
 
 
 Message = (
@@ -148,11 +336,22 @@
     | Refusal
     | SnapshotUpdate
     | MemberUpdate
+    | Heartbeat
+    | SeatsUpdate
+    | SnapshotDelta
+    | SnapshotWanted
+    | MemberDigest
+    | Alive
     | InForce
     | OutcomeReport
     | RollbackNotice
     | CallRequest
     | CallAnswer
+    | CallRevoke
+    | CallRevoked
+    | CallGreeting
+    | CallGreeted
+    | SuspectReport
 )
 
 _KINDS: dict[str, type[Any]] = {
@@ -161,11 +360,22 @@
     "refusal": Refusal,
     "snapshot": SnapshotUpdate,
     "members": MemberUpdate,
+    "heartbeat": Heartbeat,
+    "seats": SeatsUpdate,
+    "delta": SnapshotDelta,
+    "snapshot-wanted": SnapshotWanted,
+    "member-digest": MemberDigest,
+    "alive": Alive,
     "in-force": InForce,
     "outcomes": OutcomeReport,
     "rollbacks": RollbackNotice,
     "call": CallRequest,
     "answer": CallAnswer,
+    "revoke": CallRevoke,
+    "revoked": CallRevoked,
+    "greeting": CallGreeting,
+    "greeted": CallGreeted,
+    "suspects": SuspectReport,
 }
 _NAMES: abc.Mapping[type[Any], str] = {
     cls: name for name, cls in _KINDS.items()
@@ -177,9 +387,28 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+_COMPRESSED = "zlib"
+_COMPRESS_FROM_BYTES = 400
+_MAX_BYTES = 64 * 1024 * 1024
+# Calls are not compressed: it would add to their latency.
+_COMPRESSIBLE = (
+    SnapshotUpdate,
+    SnapshotDelta,
+    MemberUpdate,
+    SeatsUpdate,
+    Alive,
+    OutcomeReport,
+)
+
+
 def encode(message: Message) -> bytes:
-    """Return the message as msgpack bytes."""
-    return _ENCODER.encode((_NAMES[type(message)], message))
+    """Return the message as msgpack bytes, compressed if it is large."""
+    data = _ENCODER.encode((_NAMES[type(message)], message))
+    if len(data) < _COMPRESS_FROM_BYTES:
+        return data
+    if not isinstance(message, _COMPRESSIBLE):
+        return data
+    return _ENCODER.encode((_COMPRESSED, zlib.compress(data, level=1)))
 
 
 def decode(data: bytes) -> Message:
@@ -190,14 +419,30 @@
     """
     try:
         kind, body = _ENVELOPE.decode(data)
+        if kind == _COMPRESSED:
+            kind, body = _ENVELOPE.decode(_decompress(body))
         decoder = _DECODERS.get(kind)
         if decoder is None:
-            raise errors.WireError(
-                step="message.decode", peer="-", reason=f"kind {kind!r}"
-            )
+            raise _invalid(f"kind {kind!r}")
         message: Message = decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise errors.WireError(
-            step="message.decode", peer="-", reason=str(exc)
-        ) from exc
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+        zlib.error,
+    ) as exc:
+        raise _invalid(str(exc)) from exc
     return message
+
+
+def _decompress(body: msgspec.Raw) -> bytes:
+    packed = msgspec.msgpack.decode(body, type=bytes)
+    stream = zlib.decompressobj()
+    data = stream.decompress(packed, _MAX_BYTES)
+    if not stream.eof:
+        raise _invalid("compressed data is cut or too large")
+    return data
+
+
+def _invalid(reason: str) -> errors.WireError:
+    return errors.WireError(step="message.decode", peer="-", reason=reason)
