--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -12,6 +12,7 @@
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
 from arbutusstall._systems import liveness
+from arbutusstall._systems import local_rollback
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import progress
@@ -49,6 +50,7 @@
     messages.Alive: liveness.on_alive,
     messages.InForce: progress.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.RollbackNotice: local_rollback.on_notice,
     messages.SuspectReport: quarantine.on_report,
 }
 # These run after the handler of the same event.
@@ -111,6 +113,7 @@
         effects += progress.run(self.tables, now)
         effects += lease.run(self.tables, now)
         effects += checkpoint.run(self.tables, now)
+        effects += outcomes.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
 
--- a/src/arbutusstall/_log/status.py
+++ b/src/arbutusstall/_log/status.py
@@ -69,7 +69,10 @@
         state.releases_by_name.values(), key=lambda item: item.offset
     )
     rollouts = sorted(
-        state.snapshot.rollouts_by_id.values(),
+        (
+            *state.ended_rollouts_by_id.values(),
+            *state.snapshot.rollouts_by_id.values(),
+        ),
         key=lambda item: (item.offset, item.rollout_id),
     )
     return Status(
@@ -97,7 +100,7 @@
         verdict=_VERDICTS[rollout.state],
         goal=rollout.goal,
         percent_by_version=shares.percent_by_version if shares else {},
-        held_by=getattr(rollout, "held_by", ""),
+        held_by=rollout.held_by,
         reason=rollout.reason,
     )
 
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -6,6 +6,8 @@
 from arbutusstall import _effects
 from arbutusstall._systems import deltas
 from arbutusstall._systems import progress
+from arbutusstall._systems import rollout_events
+from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
 from arbutusstall._tables import links
 from arbutusstall._tables import node
@@ -49,7 +51,7 @@
             event="config-in-force", fields={"version": snapshot.version}
         )
     ]
-    effects += _rollout_events(before, snapshot)
+    effects += rollout_events.between(before, snapshot)
     effects.append(view(tables))
     return effects + _hand_down(tables)
 
@@ -69,7 +71,9 @@
     spread.view_due = False
     return _effects.PutInForce(
         view=_effects.View(
-            snapshot=tables.snapshot,
+            snapshot=shares.override(
+                tables.snapshot, tables.rollbacks_by_version
+            ),
             members_by_service=dict(spread.tuples_by_service),
             blocked=tables.snapshot.blocked | frozenset(tables.blocked),
         )
@@ -177,25 +181,3 @@
     return messages.SnapshotUpdate(
         digest=tables.digest, snapshot=tables.snapshot
     )
-
-
-def _rollout_events(
-    before: agreed.Snapshot, after: agreed.Snapshot
-) -> list[_effects.Effect]:
-    effects: list[_effects.Effect] = []
-    for rollout_id, rollout in after.rollouts_by_id.items():
-        old = before.rollouts_by_id.get(rollout_id)
-        if old is rollout:
-            continue
-        if old is not None and old.state is rollout.state:
-            continue
-        effects.append(
-            _effects.Emit(
-                event=f"rollout-{rollout.state.value}",
-                fields={
-                    "rollout": rollout_id,
-                    "reason": rollout.reason or "-",
-                },
-            )
-        )
-    return effects
