--- a/src/arbutusstall/_systems/attach.py
+++ b/src/arbutusstall/_systems/attach.py
@@ -84,15 +84,17 @@
 
 def failed(tables: node.Tables, now: _clock.Instant) -> None:
     """Go on after an attempt without an answer."""
-    address = tables.attaching_to
+    avoid(tables, tables.attaching_to, now)
     tables.attaching_to = ""
-    retry_s = tables.settings.relay.retry_cap_s
-    tables.relay.retry_s_by_address[address] = (
-        now.mono_s + retry_s * tables.rng.random()
-    )
     tables.next_attach_s = now.mono_s + _NEXT_S * tables.rng.random()
 
 
+def avoid(tables: node.Tables, address: str, now: _clock.Instant) -> None:
+    """Ask ``address`` after the others for a while."""
+    wait_s = tables.settings.relay.retry_cap_s * (0.5 + tables.rng.random())
+    tables.relay.retry_s_by_address[address] = now.mono_s + wait_s
+
+
 def _watch(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
     if now.mono_s - tables.relay.attach_began_s < _CONNECT_LIMIT_S:
         return []
@@ -139,7 +141,15 @@
 ) -> list[_effects.Effect]:
     state = tables.relay
     policy = tables.settings.relay
-    state.candidates = _candidates(tables)
+    retry = state.retry_s_by_address
+    for address, until_s in list(retry.items()):
+        if now.mono_s >= until_s + policy.retry_cap_s:
+            del retry[address]
+    # The sort is stable: those that failed lately come last.
+    state.candidates = sorted(
+        _candidates(tables),
+        key=lambda address: now.mono_s < retry.get(address, 0.0),
+    )
     if state.candidates:
         state.rounds += 1
     else:
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -197,6 +197,8 @@
     if link is None:
         return []
     progress.changed(tables, now)
+    if link.role is not links.LinkRole.CHILD:
+        attach.avoid(tables, link.address, now)
     if link.role is not links.LinkRole.PARENT:
         return []
     tables.next_attach_s = now.mono_s
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -52,6 +52,7 @@
         self.silent: set[frozenset[str]] = set()
         self._links: dict[tuple[str, str], int] = {}
         self._aborted: set[int] = set()
+        self._waiting: dict[str, list[protocols.Event]] = {}
         self._sizes: tuple[messages.Message | None, int] = (None, 0)
         self._followers: set[str] = set()
         self._names_by_address: dict[str, str] = {}
@@ -78,6 +79,7 @@
         """End a node without notice."""
         del self.cores_by_name[name]
         self._followers.discard(name)
+        self._waiting.pop(name, None)
         for one, other in list(self._links):
             if one == name:
                 self._aborted.add(self._links[one, other])
@@ -102,10 +104,9 @@
         core = self.cores_by_name.get(name)
         if core is None:
             return
-        if name in self.frozen:
-            self.after(0.1, lambda: self.put(name, event))
-            return
-        self._carry_out(name, core.handle(event, self.clock.now()))
+        self._waiting.setdefault(name, []).append(event)
+        if name not in self.frozen:
+            self._deliver_waiting(name)
 
     def append(self, record: records.Record) -> int:
         """Store a record as an operator would; return its offset."""
@@ -118,10 +119,19 @@
             )
         return offset
 
+    def _deliver_waiting(self, name: str) -> None:
+        # What came while the node was frozen stays in order.
+        waiting = self._waiting.get(name, [])
+        while waiting and name in self.cores_by_name:
+            core = self.cores_by_name[name]
+            event = waiting.pop(0)
+            self._carry_out(name, core.handle(event, self.clock.now()))
+
     def _tick(self, name: str, core: protocols.NodeCore) -> None:
         if self.cores_by_name.get(name) is not core:
             return
         if name not in self.frozen:
+            self._deliver_waiting(name)
             self._carry_out(name, core.tick(self.clock.now()))
         self.after(core.tables.settings.tick_s, lambda: self._tick(name, core))
 
@@ -188,12 +198,13 @@
 
     def cut_links(self, names: abc.Collection[str]) -> None:
         """Break the open links between ``names`` and all others."""
-        for one, other in list(self._links):
+        for link, connection in list(self._links.items()):
+            one, other = link
             if (one in names) != (other in names):
-                self.cut.add(frozenset((one, other)))
-                self._aborted.add(self._links[one, other])
-                self._close(one, other)
-                self._close(other, one)
+                self._aborted.add(connection)
+                lost = protocols.LinkLost(peer=other, reason="cut")
+                del self._links[link]
+                self.put(one, lost)
 
     def parent(self, name: str) -> str:
         """Return the parent of a node, empty if it has none."""
