--- /dev/null
+++ b/features/steps/tree_steps.py
@@ -0,0 +1,398 @@
+"""Steps for the distribution tree, run by the driver."""
+
+import random
+
+import behave
+import fleet
+
+from arbutusstall import protocols
+from arbutusstall._systems import progress
+
+_SEED = 7
+
+
+@behave.given("a fleet of {count:d} nodes in {centres} that has settled")
+def build(context, count, centres):
+    """Start the nodes and publish a first release."""
+    context.centres = centres.split(", ")
+    context.fleet = fleet.build(count, context.centres, seed=_SEED)
+    context.next_index = count
+    fleet.wait(context.fleet, lambda: _settled(context), 30.0)
+    version = fleet.publish(context.fleet, services=3)
+    fleet.converge(context.fleet, version, 4.0)
+    context.fleet.run(15.0)
+    context.begin_s = context.fleet.now_s
+
+
+@behave.when("a root dies")
+def kill_root(context):
+    """Kill one root."""
+    context.fleet.kill(context.fleet.roots()[0])
+
+
+@behave.when("a root is frozen for {seconds:d} seconds")
+def freeze_root(context, seconds):
+    """Stop the clock of one root for a while."""
+    context.name = context.fleet.roots()[0]
+    context.fleet.frozen.add(context.name)
+    context.fleet.run(seconds)
+    context.fleet.frozen.clear()
+
+
+@behave.when("all roots of {centre} die")
+def kill_roots(context, centre):
+    """Kill all roots of a data centre."""
+    for name in context.fleet.roots():
+        if _centre(context, name) == centre:
+            context.fleet.kill(name)
+
+
+@behave.when(
+    "all nodes of {centre} are gone for {seconds:d} seconds and come"
+    " back as new"
+)
+def herd(context, centre, seconds):
+    """Kill a data centre and start as many nodes with new names."""
+    gone = [
+        name
+        for name in list(context.fleet.cores_by_name)
+        if _centre(context, name) == centre
+    ]
+    for name in gone:
+        context.fleet.kill(name)
+    context.fleet.run(seconds)
+    for _ in gone:
+        context.fleet.add(fleet.settings(context.next_index, centre))
+        context.next_index += 1
+
+
+@behave.when("the log is out")
+def log_out(context):
+    """Let every request to the log fail."""
+    context.fleet.log_out = True
+
+
+@behave.when("the log is out for {seconds:d} seconds")
+def log_outage(context, seconds):
+    """Let every request to the log fail for a while."""
+    context.fleet.log_out = True
+    context.fleet.run(seconds)
+    context.fleet.log_out = False
+    context.fleet.run(1.0)
+
+
+@behave.when("a node starts that knows two seeds")
+def start_with_seeds(context):
+    """Start a node with the relay addresses of two others."""
+    seeds = tuple(
+        core.tables.member.relay
+        for core in list(context.fleet.cores_by_name.values())[:2]
+    )
+    settings = fleet.settings(
+        context.next_index, context.centres[0], seeds=seeds
+    )
+    context.name = settings.node
+    context.fleet.add(settings)
+
+
+@behave.when(
+    "{count:d} nodes die and start again at random with seed {seed:d}"
+)
+def churn(context, count, seed):
+    """Kill and restart nodes, looking at the tree all the time."""
+    rng = random.Random(seed)
+    made = context.fleet
+    context.before = {name: made.parent(name) for name in made.cores_by_name}
+    context.faults = []
+    context.dead = set()
+    roots = set(made.roots())
+    for _ in range(count):
+        name = rng.choice([n for n in made.cores_by_name if n not in roots])
+        settings = made.cores_by_name[name].tables.settings
+        made.kill(name)
+        context.dead.add(name)
+        made.run(rng.random())
+        made.add(settings)
+        made.run(rng.random())
+        context.faults += fleet.check_shape(made).faults
+    fleet.wait(made, lambda: _settled(context), 20.0)
+
+
+@behave.when("the link of a child to its parent goes silent")
+def silence(context):
+    """Lose everything on one link, both ways."""
+    context.name, context.parent = _child(context)
+    context.fleet.silent.add(frozenset((context.name, context.parent)))
+
+
+@behave.when("a child hears nothing from its parent")
+def one_way(context):
+    """Lose everything on one link, one way."""
+    context.name, context.parent = _child(context)
+    context.fleet.one_way.add((context.parent, context.name))
+
+
+@behave.when("a node with children stops")
+def stop_parent(context):
+    """Tell a node to stop, and end it after its grace time."""
+    made = context.fleet
+    roots = set(made.roots())
+    counts = {}
+    for name in made.cores_by_name:
+        counts.setdefault(made.parent(name), []).append(name)
+    context.name = max(
+        (name for name in counts if name and name not in roots),
+        key=lambda name: len(counts[name]),
+    )
+    context.children = counts[context.name]
+    context.orphaned = set()
+    left = protocols.Left(reason="node stops", stopping=True)
+    made.put(context.name, left)
+
+
+@behave.when(
+    "{one} and {other} are cut from each other for {seconds:d} seconds"
+)
+def cut(context, one, other, seconds):
+    """Break and forbid all links between two data centres."""
+    made = context.fleet
+    names = {n for n in made.cores_by_name if _centre(context, n) == one}
+    made.cut_links(names)
+    for name in names:
+        for far in made.cores_by_name:
+            if far not in names:
+                made.cut.add(frozenset((name, far)))
+    made.run(seconds)
+
+
+@behave.when("the cut is healed")
+def heal(context):
+    """Allow all links again."""
+    context.fleet.cut.clear()
+
+
+@behave.when("a node without children is frozen")
+def freeze_leaf(context):
+    """Freeze a leaf."""
+    made = context.fleet
+    parents = {made.parent(name) for name in made.cores_by_name}
+    context.name = next(
+        name
+        for name in made.cores_by_name
+        if name not in parents and made.parent(name)
+    )
+    made.frozen.add(context.name)
+
+
+@behave.when("a release is published")
+def publish(context):
+    """Publish and let it spread for less than a link's silence limit."""
+    fleet.publish(context.fleet)
+    context.fleet.run(2.0)
+
+
+@behave.when("it is thawed")
+def thaw(context):
+    """Let the frozen node run again."""
+    context.fleet.frozen.clear()
+    context.fleet.run(3.0)
+
+
+@behave.then("all seats are held again within {limit:d} seconds")
+def seats_held(context, limit):
+    """Wait for all seats and links."""
+    fleet.wait(context.fleet, lambda: _settled(context), limit)
+
+
+@behave.then("no seat changes hands for {seconds:d} seconds")
+def seats_kept(context, seconds):
+    """Compare the holders before and after."""
+    before = sorted(context.fleet.roots())
+    begin_s = context.fleet.now_s
+    context.fleet.run(seconds)
+    assert sorted(context.fleet.roots()) == before
+    events = [
+        emit.event
+        for at_s, _, emit in context.fleet.emitted
+        if at_s > begin_s and emit.event.startswith("root-seat")
+    ]
+    assert not events, events
+
+
+@behave.then("the log took at most {limit:d} appends a second")
+def append_rate(context, limit):
+    """Check the busiest second since the fleet had settled."""
+    counts = {}
+    for at_s in context.fleet.append_times:
+        if at_s >= context.begin_s:
+            counts[int(at_s)] = counts.get(int(at_s), 0) + 1
+    assert max(counts.values()) <= limit, max(counts.values())
+
+
+@behave.then(
+    "it is no root any more and has a parent within {limit:d} seconds"
+)
+def stepped_down(context, limit):
+    """Wait until the former root is an ordinary node."""
+    made = context.fleet
+    fleet.wait(
+        made,
+        lambda: context.name not in made.roots() and made.parent(context.name),
+        limit,
+    )
+
+
+@behave.then("{count:d} nodes are roots")
+def root_count(context, count):
+    """Check the number of roots."""
+    assert len(context.fleet.roots()) == count, context.fleet.roots()
+
+
+@behave.then("a release is in force everywhere within {limit:d} seconds")
+def release_everywhere(context, limit):
+    """Publish and wait."""
+    fleet.converge(context.fleet, fleet.publish(context.fleet), limit)
+
+
+@behave.then("the new node has the configuration within {limit:d} seconds")
+def new_node_ready(context, limit):
+    """Wait for the node that started."""
+    made = context.fleet
+    version = max(c.tables.snapshot.version for c in _cores(context))
+    core = made.cores_by_name[context.name]
+    fleet.wait(made, lambda: core.tables.snapshot.version == version, limit)
+
+
+@behave.then("no tree fault was seen")
+def no_faults(context):
+    """Check what the looks at the tree found."""
+    assert not context.faults, context.faults
+
+
+@behave.then("only nodes that lost their parent have another one")
+def moved_orphans_only(context):
+    """Compare the parents before and after the churn."""
+    made = context.fleet
+    moved = [
+        name
+        for name, old in context.before.items()
+        if name not in context.dead
+        and old not in context.dead
+        and made.parent(name) != old
+    ]
+    assert not moved, moved
+
+
+@behave.then("the child has another parent within {limit:d} seconds")
+def other_parent(context, limit):
+    """Wait until the child has changed over."""
+    made = context.fleet
+    versions = made.cores_by_name[context.name].tables
+    context.versions = set()
+
+    def moved():
+        context.versions.add(versions.snapshot.version)
+        return made.parent(context.name) not in ("", context.parent)
+
+    fleet.wait(made, moved, limit)
+
+
+@behave.then("it kept its configuration all the time")
+def kept(context):
+    """Check that only one version was seen."""
+    assert len(context.versions) == 1 and 0 not in context.versions
+
+
+@behave.then("its children have other parents within {limit:d} seconds")
+def handed_over(context, limit):
+    """Wait until the stopping node has no children."""
+    made = context.fleet
+
+    def moved():
+        parents = [made.parent(child) for child in context.children]
+        context.orphaned |= {
+            child
+            for child, parent in zip(context.children, parents, strict=True)
+            if not parent
+        }
+        return context.name not in parents
+
+    fleet.wait(made, moved, limit, step_s=0.02)
+
+
+@behave.then("none of them was without a parent")
+def no_orphans(context):
+    """Check what was seen during the hand-over."""
+    assert not context.orphaned, context.orphaned
+
+
+@behave.then("nobody took a node of the other side for dead")
+def all_live(context):
+    """Check every row of every table."""
+    for core in _cores(context):
+        states = [row.live for row in core.tables.members_by_node.values()]
+        assert all(states), core.tables.member.node
+
+
+@behave.then("the roots know each other again within {limit:d} seconds")
+def roots_linked(context, limit):
+    """Wait for the mesh of the roots."""
+    made = context.fleet
+
+    def linked():
+        roots = made.roots()
+        return all(
+            other in made.cores_by_name[root].tables.links_by_peer
+            for root in roots
+            for other in roots
+            if root != other
+        )
+
+    fleet.wait(made, linked, limit)
+
+
+@behave.then(
+    "every root counts {known:d} known and {count:d} in force and names it"
+)
+def counts_naming(context, known, count):
+    """Check the sums of all roots and the name of the lacking node."""
+    for report in _reports(context):
+        assert (report.known, report.in_force) == (known, count), report
+        assert context.name in report.lacking, report
+
+
+@behave.then("every root counts {known:d} known and {count:d} in force")
+def counts(context, known, count):
+    """Check the sums of all roots."""
+    for report in _reports(context):
+        assert (report.known, report.in_force) == (known, count), report
+        assert not report.lacking, report
+
+
+def _cores(context):
+    return list(context.fleet.cores_by_name.values())
+
+
+def _centre(context, name):
+    return context.fleet.cores_by_name[name].tables.member.data_centre
+
+
+def _settled(context):
+    return fleet.settled(context.fleet, 3 * len(context.centres))
+
+
+def _child(context):
+    made = context.fleet
+    roots = set(made.roots())
+    return next(
+        (name, made.parent(name))
+        for name in made.cores_by_name
+        if made.parent(name) and made.parent(name) not in roots
+    )
+
+
+def _reports(context):
+    made = context.fleet
+    return [
+        progress.mesh(made.cores_by_name[name].tables) for name in made.roots()
+    ]
--- /dev/null
+++ b/features/tree.feature
@@ -0,0 +1,88 @@
+Feature: Distribution tree
+  Roots read the log, everybody else streams from a parent.
+
+  Scenario: the seat of a dead root is taken once and then kept
+    Given a fleet of 40 nodes in lipno, svet that has settled
+    When a root dies
+    Then all seats are held again within 20 seconds
+    And no seat changes hands for 60 seconds
+    And the log took at most 20 appends a second
+
+  Scenario: a root that was frozen past its expiry steps down
+    Given a fleet of 40 nodes in lipno, svet that has settled
+    When a root is frozen for 40 seconds
+    Then it is no root any more and has a parent within 10 seconds
+    And 6 nodes are roots
+
+  Scenario: all roots of a data centre die at once
+    Given a fleet of 60 nodes in lipno, svet that has settled
+    When all roots of lipno die
+    Then all seats are held again within 30 seconds
+    And a release is in force everywhere within 4 seconds
+
+  Scenario: a data centre that returns at once spares the log
+    Given a fleet of 240 nodes in lipno, svet that has settled
+    When all nodes of lipno are gone for 30 seconds and come back as new
+    Then all seats are held again within 30 seconds
+    And the log took at most 40 appends a second
+    And a release is in force everywhere within 4 seconds
+
+  Scenario: an outage of the log costs no root its seat
+    Given a fleet of 40 nodes in lipno, svet that has settled
+    When the log is out for 120 seconds
+    Then no seat changes hands for 60 seconds
+    And a release is in force everywhere within 4 seconds
+
+  Scenario: a node that starts while the log is out asks the seeds
+    Given a fleet of 20 nodes in lipno that has settled
+    When the log is out
+    And a node starts that knows two seeds
+    Then the new node has the configuration within 10 seconds
+
+  Scenario Outline: churn makes no loop and moves only orphans
+    Given a fleet of 120 nodes in lipno, svet that has settled
+    When 60 nodes die and start again at random with seed <seed>
+    Then no tree fault was seen
+    And only nodes that lost their parent have another one
+    And a release is in force everywhere within 4 seconds
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: a parent that goes silent is replaced
+    Given a fleet of 60 nodes in lipno that has settled
+    When the link of a child to its parent goes silent
+    Then the child has another parent within 12 seconds
+    And it kept its configuration all the time
+
+  Scenario: a link that works one way only is replaced
+    Given a fleet of 60 nodes in lipno that has settled
+    When a child hears nothing from its parent
+    Then the child has another parent within 12 seconds
+    And it kept its configuration all the time
+
+  Scenario: a node that stops hands its children over first
+    Given a fleet of 120 nodes in lipno that has settled
+    When a node with children stops
+    Then its children have other parents within 5 seconds
+    And none of them was without a parent
+
+  Scenario: regions that are cut from each other serve and heal
+    Given a fleet of 80 nodes in lipno, svet that has settled
+    When lipno and svet are cut from each other for 150 seconds
+    Then nobody took a node of the other side for dead
+    And a release is in force everywhere within 4 seconds
+    When the cut is healed
+    Then the roots know each other again within 20 seconds
+    And the log took at most 20 appends a second
+
+  Scenario: every root states the progress of the whole mesh
+    Given a fleet of 60 nodes in lipno, svet that has settled
+    When a node without children is frozen
+    And a release is published
+    Then every root counts 60 known and 59 in force and names it
+    When it is thawed
+    Then every root counts 60 known and 60 in force
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -81,20 +81,25 @@
 ) -> list[_effects.Effect]:
     """Merge rows of a neighbour and pass on those that were news."""
     urgent = False
+    buried: list[members.Member] = []
     for row in message.rows:
         if row.node == tables.member.node:
             _refute(tables, row, now)
             continue
         if not table.is_news(tables, row):
+            buried += _buried(tables, row)
             continue
         known = tables.members_by_node.get(row.node)
         table.put(tables, row, now)
         _note(tables, row, peer, now)
         urgent = urgent or (known is not None and not row.live)
-    if not urgent:
-        return []
-    effects = _flush(tables, now)
-    if tables.spread.view_due:
+    effects: list[_effects.Effect] = []
+    if buried:
+        reply = messages.MemberUpdate(rows=tuple(buried))
+        effects.append(_effects.Send(peer=peer, message=reply))
+    if urgent:
+        effects += _flush(tables, now)
+    if urgent and tables.spread.view_due:
         effects.append(distribution.view(tables))
     return effects
 
@@ -156,6 +161,15 @@
         _note(tables, row, "", now)
 
 
+def _buried(tables: node.Tables, row: members.Member) -> list[members.Member]:
+    # A neighbour that missed the death is told; if it is the node
+    # itself that lives, the word reaches it and it refutes.
+    tombstone = tables.spread.tombstones_by_node.get(row.node)
+    if tombstone is None or not row.live:
+        return []
+    return [tombstone.row]
+
+
 def _refute(
     tables: node.Tables, row: members.Member, now: _clock.Instant
 ) -> None:
--- a/src/arbutusstall/_systems/rows.py
+++ b/src/arbutusstall/_systems/rows.py
@@ -6,6 +6,7 @@
 from arbutusstall._systems import rendezvous
 from arbutusstall._tables import members
 from arbutusstall._tables import node
+from arbutusstall._tables import relay
 
 BUCKETS = 64
 
@@ -34,7 +35,7 @@
     if known is not None:
         return row.rank > known.rank
     tombstone = tables.spread.tombstones_by_node.get(row.node)
-    return tombstone is None or row.rank > tombstone[0]
+    return tombstone is None or row.rank > tombstone.row.rank
 
 
 def put(tables: node.Tables, row: members.Member, now: _clock.Instant) -> None:
@@ -66,9 +67,11 @@
         row = tables.members_by_node.pop(name)
         del spread.gone_s_by_node[name]
         # Without it a node that still has an old row would revive it.
-        spread.tombstones_by_node[name] = (row.rank, now.mono_s)
-    for name, (_, since_s) in list(spread.tombstones_by_node.items()):
-        if now.mono_s - since_s >= 2 * keep_s:
+        spread.tombstones_by_node[name] = relay.Tombstone(
+            row=row, since_s=now.mono_s
+        )
+    for name, tombstone in list(spread.tombstones_by_node.items()):
+        if now.mono_s - tombstone.since_s >= 2 * keep_s:
             del spread.tombstones_by_node[name]
 
 
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -85,6 +85,14 @@
     claims: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Tombstone:
+    """The last row of a dead node, and when it was removed."""
+
+    row: members.Member
+    since_s: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class SpreadTable:
     """What the membership systems keep; changed only by them.
@@ -94,7 +102,7 @@
         local_live: Live rows of the own data centre.
         news_by_node: Changed rows and the peer that each came from.
         gone_s_by_node: When a row was learnt to be dead.
-        tombstones_by_node: Rank and time of removed rows.
+        tombstones_by_node: Rows that were removed.
         alive_s_by_node: When a node was last reported alive; at roots.
         below_s_by_node: The same, for nodes below this one only.
         serving_by_service: Serving members by service and node.
@@ -111,8 +119,8 @@
     )
     news_due_s: float = 0.0
     gone_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
-    tombstones_by_node: dict[str, tuple[tuple[int, int], float]] = (
-        dataclasses.field(default_factory=dict)
+    tombstones_by_node: dict[str, Tombstone] = dataclasses.field(
+        default_factory=dict
     )
     alive_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
     below_s_by_node: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -44,6 +44,7 @@
         self.entries: list[bytes] = []
         self.first_kept = 0
         self.appends = 0
+        self.append_times: list[float] = []
         self.reads = 0
         self.log_out = False
         self.frozen: set[str] = set()
@@ -59,6 +60,11 @@
         self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._order = itertools.count()
 
+    @property
+    def now_s(self) -> float:
+        """The driver's monotonic time in seconds."""
+        return self.clock.now().mono_s
+
     def add(self, settings: node_settings.NodeSettings) -> None:
         """Start a node; an earlier one of the same name is replaced."""
         name = settings.node
@@ -112,6 +118,7 @@
         """Store a record as an operator would; return its offset."""
         self.entries.append(records.encode(record))
         self.appends += 1
+        self.append_times.append(self.now_s)
         offset = len(self.entries) - 1
         for name in sorted(self._followers):
             self.after(
