--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -8,12 +8,14 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall._systems import agreement
+from arbutusstall._systems import checkpoint
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
 from arbutusstall._systems import liveness
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import progress
+from arbutusstall._systems import quarantine
 from arbutusstall._systems import rollout
 from arbutusstall._systems import rows
 from arbutusstall._systems import seats
@@ -26,10 +28,12 @@
 
 _EVENT_HANDLERS: dict[type[Any], _Handler] = {
     _effects.LogRead: agreement.on_read,
+    _effects.LogFailed: agreement.on_failed,
     _effects.Announced: membership.on_announced,
     _effects.Left: membership.on_left,
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
+    _effects.TargetCrashed: quarantine.on_crashed,
 }
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
@@ -45,6 +49,7 @@
     messages.Alive: liveness.on_alive,
     messages.InForce: progress.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.SuspectReport: quarantine.on_report,
 }
 # These run after the handler of the same event.
 _FOLLOW_UPS: dict[type[Any], _Handler] = {
@@ -105,6 +110,7 @@
         effects += membership.run(self.tables, now)
         effects += progress.run(self.tables, now)
         effects += lease.run(self.tables, now)
+        effects += checkpoint.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
 
