Measure control work and hand children over

Cause: no figure said what one node's control work costs at 8,000 nodes, and a stopping process ended 0.3 s after it told its children to move. Ruled out: a longer fixed pause, which is too long for leaves. Change: benchmarks/slopes.py; a stopping process waits until its children are gone, 3 s at most.

--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,227 @@
+"""What one node's control work costs at the target's size.
+
+Run as ``python benchmarks/slopes.py [--short]`` with ``src`` and
+``tests`` on the path.
+"""
+
+import gc
+import random
+import sys
+import time
+import tracemalloc
+
+import fleet
+import report as report_form
+
+from arbutusstall import protocols
+from arbutusstall._systems import deltas
+from arbutusstall._systems import distribution
+from arbutusstall._systems import progress
+from arbutusstall._systems import rows as table
+from arbutusstall._tables import agreed
+from arbutusstall._tables import links
+from arbutusstall._tables import members
+from arbutusstall._wire import messages
+
+_NODES = 8_000
+_SERVICES = 300
+_FAN_OUT = 16
+_CENTRES = ("lipno", "rozmberk", "svet", "susarna", "jih")
+_BELOW_ROOT = _NODES // 15
+_COMMAND = "python benchmarks/slopes.py"
+_MEMORY_LIMIT_MB = 256.0
+_CORE_LIMIT = 2.5
+
+
+def member(index: int) -> members.Member:
+    """Return the row of a serving node."""
+    host = f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}"
+    return members.Member(
+        node=f"node-{index}",
+        data_centre=_CENTRES[index % len(_CENTRES)],
+        incarnation=1_800_000_000_000 + index * 37,
+        sequence=1,
+        state=members.MemberState.SERVING,
+        service=f"service-{index % _SERVICES}",
+        version="v1",
+        target=f"{host}:7000",
+        slots=20,
+        inbound=f"{host}:7002",
+        relay=f"{host}:7003",
+    )
+
+
+def snapshot(version: int, timeout_ms: int = 5_000) -> agreed.Snapshot:
+    """Return a configuration of 300 services with two routes each."""
+    names = [f"service-{index}" for index in range(_SERVICES)]
+    routes = {}
+    for name in names:
+        for prefix in (f"/{name}", f"/{name}/v2"):
+            routes[prefix] = agreed.Route(
+                prefix=prefix, service=name, timeout_ms=timeout_ms
+            )
+    changed = "/service-0"
+    routes[changed] = agreed.Route(
+        prefix=changed, service="service-0", timeout_ms=version
+    )
+    return agreed.Snapshot(
+        version=version,
+        services_by_name={name: agreed.Service(name=name) for name in names},
+        routes_by_prefix=routes,
+        shares_by_service={
+            name: agreed.Shares(service=name, percent_by_version={"v1": 100.0})
+            for name in names
+        },
+    )
+
+
+class Slopes:
+    """One node with the tables of the target's size."""
+
+    def __init__(self, repeats: int) -> None:
+        self._repeats = repeats
+        settings = fleet.settings(1, _CENTRES[0])
+        self.core = protocols.NodeCore(settings, random.Random(1), 1)
+        self.clock = protocols.ManualClock()
+        self.rows = tuple(member(index) for index in range(_NODES))
+        gc.collect()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        begin_s = time.perf_counter()
+        now = self.clock.now()
+        for row in self.rows:
+            table.put(self.core.tables, row, now)
+        self.put_s = time.perf_counter() - begin_s
+        self.table_bytes = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        begin_s = time.perf_counter()
+        for row in self.rows:
+            table.put(self.core.tables, row, now)
+        self.put_s = time.perf_counter() - begin_s
+        self._link()
+
+    def _link(self) -> None:
+        tables = self.core.tables
+        tables.links_by_peer["parent"] = links.Link(
+            peer="parent",
+            address="10.9.9.9:1",
+            role=links.LinkRole.PARENT,
+            attached=True,
+        )
+        tables.relay.attached = True
+        tables.relay.follows_log = False
+        for index in range(_FAN_OUT):
+            tables.links_by_peer[f"child-{index}"] = links.Link(
+                peer=f"child-{index}",
+                address=f"10.9.9.{index}:1",
+                role=links.LinkRole.CHILD,
+            )
+
+    def time_ms(self, work: object) -> float:
+        """Return the median milliseconds of one call of ``work``."""
+        times = []
+        for _ in range(self._repeats):
+            begin_s = time.perf_counter()
+            work()  # type: ignore[operator]
+            times.append(time.perf_counter() - begin_s)
+        return report_form.quantile(times, 0.5) * 1000
+
+    def tick_ms(self) -> float:
+        """Return the mean milliseconds of an idle tick, heartbeats too."""
+        core = self.core
+        peers = list(core.tables.links_by_peer)
+        count = 200
+        sent = 0
+        begin_s = time.perf_counter()
+        for _ in range(count):
+            self.clock.advance(0.1)
+            now = self.clock.now()
+            for peer in peers:
+                core.tables.relay.heard_s_by_peer[peer] = now.mono_s
+            for effect in core.tick(now):
+                if isinstance(effect, protocols.Send):
+                    sent += len(messages.encode(effect.message))
+        return (time.perf_counter() - begin_s) / count * 1000
+
+
+def report(short: bool) -> report_form.Report:
+    """Measure and return the slopes."""
+    slopes = Slopes(20 if short else 100)
+    now = slopes.clock.now()
+    tables = slopes.core.tables
+    old, new = snapshot(1), snapshot(2)
+    whole = messages.SnapshotUpdate(digest="x" * 32, snapshot=new)
+    delta = deltas.difference(old, new, deltas.digest(new))
+    update = messages.MemberUpdate(rows=slopes.rows[:500])
+    one = messages.MemberUpdate(rows=slopes.rows[:1])
+    alive = messages.Alive(
+        nodes=tuple(row.node for row in slopes.rows[:_BELOW_ROOT])
+    )
+    tick_ms = slopes.tick_ms()
+    digest_ms = slopes.time_ms(lambda: deltas.digest(new))
+    apply_ms = slopes.time_ms(lambda: deltas.apply(old, delta))
+
+    def adopt() -> None:
+        tables.snapshot = old
+        distribution.adopt(tables, new, now, delta.digest)
+
+    figures = (
+        ("member table, 8,000 rows, KB", slopes.table_bytes / 1000),
+        ("member row merged, us", slopes.put_s / _NODES * 1e6),
+        ("member row alone on the wire, bytes", len(messages.encode(one))),
+        (
+            "member row in a batch of 500, bytes",
+            len(messages.encode(update)) / 500,
+        ),
+        (
+            "batch of 500 rows encoded, ms",
+            slopes.time_ms(lambda: messages.encode(update)),
+        ),
+        (
+            "batch of 500 rows decoded, ms",
+            slopes.time_ms(lambda: messages.decode(messages.encode(update))),
+        ),
+        ("report of 533 nodes alive, bytes", len(messages.encode(alive))),
+        ("whole configuration, KB", len(messages.encode(whole)) / 1000),
+        ("delta of one route, bytes", len(messages.encode(delta))),
+        ("digest of the configuration, ms", digest_ms),
+        ("delta applied and checked, ms", apply_ms),
+        ("change put in force for 16 children, ms", slopes.time_ms(adopt)),
+        (
+            "difference to the last version, ms",
+            slopes.time_ms(lambda: deltas.difference(old, new, "x")),
+        ),
+        (
+            "sum of the subtree, ms",
+            slopes.time_ms(lambda: progress.summary(tables)),
+        ),
+        (
+            "view for the call path, ms",
+            slopes.time_ms(lambda: distribution.view(tables)),
+        ),
+        ("idle tick with 17 links, ms", tick_ms),
+    )
+    # 16,000 changes a day and the ticks, as a share of one core.
+    change_ms = 2 * (apply_ms + slopes.time_ms(adopt))
+    ordinary = 100 * (16_000 / 86_400 * change_ms / 1000 + tick_ms / 100)
+    return report_form.Report(
+        title="Control work of one node at 8,000 nodes and 300 services",
+        command=_COMMAND,
+        header=("what", "figure"),
+        rows=tuple((name, f"{value:.4g}") for name, value in figures),
+        bounds=(
+            report_form.at_most(
+                "decision logic on an ordinary day, % of a core",
+                ordinary,
+                _CORE_LIMIT,
+            ),
+            report_form.at_most(
+                "member table, MB", slopes.table_bytes / 1e6, _MEMORY_LIMIT_MB
+            ),
+        ),
+        remarks=("One process, no sockets; medians of repeated calls.",),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(report_form.run_main(report))
--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -66,13 +66,13 @@
         context.next_index += 1
 
 
-@behave.when("the log is out")
+@behave.when("the fleet's log is out")
 def log_out(context):
     """Let every request to the log fail."""
     context.fleet.log_out = True
 
 
-@behave.when("the log is out for {seconds:d} seconds")
+@behave.when("the fleet's log is out for {seconds:d} seconds")
 def log_outage(context, seconds):
     """Let every request to the log fail for a while."""
     context.fleet.log_out = True
@@ -184,7 +184,7 @@
     made.frozen.add(context.name)
 
 
-@behave.when("a release is published")
+@behave.when("a release is published to the fleet")
 def publish(context):
     """Publish and let it spread for less than a link's silence limit."""
     fleet.publish(context.fleet)
@@ -219,7 +219,7 @@
     assert not events, events
 
 
-@behave.then("the log took at most {limit:d} appends a second")
+@behave.then("the fleet's log took at most {limit:d} appends a second")
 def append_rate(context, limit):
     """Check the busiest second since the fleet had settled."""
     counts = {}
@@ -248,7 +248,9 @@
     assert len(context.fleet.roots()) == count, context.fleet.roots()
 
 
-@behave.then("a release is in force everywhere within {limit:d} seconds")
+@behave.then(
+    "a release to the fleet is in force everywhere within {limit:d} seconds"
+)
 def release_everywhere(context, limit):
     """Publish and wait."""
     fleet.converge(context.fleet, fleet.publish(context.fleet), limit)
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -6,7 +6,7 @@
     When a root dies
     Then all seats are held again within 20 seconds
     And no seat changes hands for 60 seconds
-    And the log took at most 20 appends a second
+    And the fleet's log took at most 20 appends a second
 
   Scenario: a root that was frozen past its expiry steps down
     Given a fleet of 40 nodes in lipno, svet that has settled
@@ -18,24 +18,24 @@
     Given a fleet of 60 nodes in lipno, svet that has settled
     When all roots of lipno die
     Then all seats are held again within 30 seconds
-    And a release is in force everywhere within 4 seconds
+    And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: a data centre that returns at once spares the log
     Given a fleet of 240 nodes in lipno, svet that has settled
     When all nodes of lipno are gone for 30 seconds and come back as new
     Then all seats are held again within 30 seconds
-    And the log took at most 40 appends a second
-    And a release is in force everywhere within 4 seconds
+    And the fleet's log took at most 40 appends a second
+    And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: an outage of the log costs no root its seat
     Given a fleet of 40 nodes in lipno, svet that has settled
-    When the log is out for 120 seconds
+    When the fleet's log is out for 120 seconds
     Then no seat changes hands for 60 seconds
-    And a release is in force everywhere within 4 seconds
+    And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: a node that starts while the log is out asks the seeds
     Given a fleet of 20 nodes in lipno that has settled
-    When the log is out
+    When the fleet's log is out
     And a node starts that knows two seeds
     Then the new node has the configuration within 10 seconds
 
@@ -44,7 +44,7 @@
     When 60 nodes die and start again at random with seed <seed>
     Then no tree fault was seen
     And only nodes that lost their parent have another one
-    And a release is in force everywhere within 4 seconds
+    And a release to the fleet is in force everywhere within 4 seconds
 
     Examples:
       | seed |
@@ -74,15 +74,15 @@
     Given a fleet of 80 nodes in lipno, svet that has settled
     When lipno and svet are cut from each other for 150 seconds
     Then nobody took a node of the other side for dead
-    And a release is in force everywhere within 4 seconds
+    And a release to the fleet is in force everywhere within 4 seconds
     When the cut is healed
     Then the roots know each other again within 20 seconds
-    And the log took at most 20 appends a second
+    And the fleet's log took at most 20 appends a second
 
   Scenario: every root states the progress of the whole mesh
     Given a fleet of 60 nodes in lipno, svet that has settled
     When a node without children is frozen
-    And a release is published
+    And a release is published to the fleet
     Then every root counts 60 known and 59 in force and names it
     When it is thawed
     Then every root counts 60 known and 60 in force
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -20,6 +20,7 @@
 from arbutusstall._systems import rows
 from arbutusstall._systems import seats
 from arbutusstall._systems import tree
+from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
@@ -82,6 +83,12 @@
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
         rows.put(self.tables, member, _clock.Instant(mono_s=0.0, wall_s=0.0))
 
+    @property
+    def has_children(self) -> bool:
+        """Whether other nodes stream from this one; for any thread."""
+        links_now = list(self.tables.links_by_peer.values())
+        return any(link.role is links.LinkRole.CHILD for link in links_now)
+
     def start(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Return the effects that begin the node's work."""
         return [
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -20,6 +20,8 @@
 from arbutusstall._shell import web
 
 _SPREAD_S = 0.3
+_HAND_OVER_S = 3.0
+_HAND_OVER_POLL_S = 0.05
 
 
 class Node:
@@ -77,6 +79,12 @@
         loop.on(_effects.Suspected, self._inbound.suspected)
         loop.on(_effects.Emit, self._emit)
 
+    def _await_hand_over(self) -> None:
+        # Children look for another parent while this one still serves.
+        end_s = time.monotonic() + _HAND_OVER_S
+        while self._core.has_children and time.monotonic() < end_s:
+            time.sleep(_HAND_OVER_POLL_S)
+
     def _emit(self, effect: _effects.Emit) -> None:
         self._log.emit(effect.event, effect.fields)
 
@@ -86,6 +94,7 @@
         self._callers.close_connections()
         self._loop.put(_effects.Left(reason="node stops", stopping=True))
         time.sleep(_SPREAD_S)
+        self._await_hand_over()
         self._callers.stop(self._longest_call_s)
         self._inbound.stop()
         self._outbound.close()
