--- a/src/arbutusstall/_log/releases.py
+++ b/src/arbutusstall/_log/releases.py
@@ -16,7 +16,6 @@
 RELEASES_KEPT = 5_000
 RELEASES_BATCH = 500
 FORGOTTEN_BATCHES = 100
-ENDED_ROLLOUTS_KEPT = 300
 
 
 def apply(
@@ -194,35 +193,27 @@
     items = dict(state.item_offsets_by_key)
     for key in item_keys(record.note):
         items[key] = offset
-    return dataclasses.replace(
+    accepted = dataclasses.replace(
         state,
         snapshot=_snapshot(state.snapshot, offset, record),
         item_offsets_by_key=items,
     )
+    return rollouts.trim(accepted)
 
 
 def _snapshot(
     old: tables.Snapshot, offset: int, record: records.ReleaseRecord
 ) -> tables.Snapshot:
     note = record.note
-    shares = dict(old.shares_by_service)
-    moves = dict(old.rollouts_by_id)
-    for item in note.shares:
-        _share(shares, moves, offset, record, item)
-    for name in note.withdraw.services:
-        shares.pop(name, None)
+    changes = rollouts.release(old, offset, record)
     return dataclasses.replace(
         old,
         version=offset + 1,
         services_by_name=_services(old, note),
         routes_by_prefix=_routes(old, note),
-        shares_by_service=shares,
-        rollouts_by_id=_without_oldest(moves),
-        blocked=frozenset(
-            key
-            for key in old.blocked
-            if key.rpartition("/")[0] not in note.withdraw.services
-        ),
+        shares_by_service=changes.shares_by_service,
+        rollouts_by_id=changes.rollouts_by_id,
+        blocked=changes.blocked,
     )
 
 
@@ -253,55 +244,6 @@
     return routes
 
 
-def _share(
-    shares: dict[str, tables.Shares],
-    moves: dict[str, tables.Rollout],
-    offset: int,
-    record: records.ReleaseRecord,
-    item: _notes.ShareItem,
-) -> None:
-    for rollout in moves.values():
-        running = rollout.state is tables.RolloutState.RUNNING
-        if rollout.service == item.service and running:
-            moves[rollout.rollout_id] = dataclasses.replace(
-                rollout,
-                state=tables.RolloutState.ROLLED_BACK,
-                reason=f"taken back by release {record.note.name}",
-            )
-            shares[item.service] = tables.Shares(
-                service=item.service, percent_by_version=rollout.start
-            )
-    started = rollouts.begin(shares, offset, record, item)
-    current = shares.get(item.service)
-    if current and dict(current.percent_by_version) == dict(started.goal):
-        started = dataclasses.replace(
-            started,
-            state=tables.RolloutState.DONE,
-            reason="the shares are these already",
-        )
-    moves[started.rollout_id] = started
-    if started.state is tables.RolloutState.DONE:
-        shares[item.service] = tables.Shares(
-            service=item.service, percent_by_version=started.goal
-        )
-
-
-def _without_oldest(
-    moves: abc.Mapping[str, tables.Rollout],
-) -> abc.Mapping[str, tables.Rollout]:
-    ended = [
-        rollout
-        for rollout in moves.values()
-        if rollout.state is not tables.RolloutState.RUNNING
-    ]
-    surplus = len(ended) - ENDED_ROLLOUTS_KEPT
-    if surplus <= 0:
-        return moves
-    ended.sort(key=lambda item: (item.offset, item.rollout_id))
-    gone = {rollout.rollout_id for rollout in ended[:surplus]}
-    return {name: row for name, row in moves.items() if name not in gone}
-
-
 def _forget(state: tables.Agreed) -> tables.Agreed:
     outcomes = sorted(
         state.releases_by_name.values(), key=lambda item: item.offset
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -15,17 +15,15 @@
 from arbutusstall._shell import control
 from arbutusstall._shell import events
 from arbutusstall._shell import http
+from arbutusstall._shell import outcome_counter
 from arbutusstall._shell import target as targets
 from arbutusstall._shell import web
 from arbutusstall._systems import admission
 from arbutusstall._systems import keys
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import revocation
-from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
-_SLOW_S = 1.0
-_SERVER_ERROR = 500
 _CANCELLED = "cancelled by the caller"
 _STOP_MARGIN_MS = 1_000
 _SPARE_WORKERS = 32
@@ -55,6 +53,7 @@
         self._settings = settings
         self._loop = loop
         self._log = log
+        self._counter = outcome_counter.OutcomeCounter(loop.put)
         self._began_s = time.monotonic()
         self.incarnation = incarnation
         table = revocation.CallTable(
@@ -93,6 +92,7 @@
 
     def start(self) -> None:
         """Begin to accept calls of other nodes."""
+        self._counter.start()
         self._server.start()
 
     def drain(self) -> None:
@@ -114,6 +114,7 @@
             time.sleep(0.01)
         self._server.stop(grace_s=_STOP_MARGIN_MS / 1000)
         self._pool.close()
+        self._counter.stop()
 
     def announced(self, target: _effects.Announced) -> None:
         """Use ``target`` for calls from now on."""
@@ -298,7 +299,7 @@
         finally:
             self._finish(running, answer)
         if not answer.not_run and not running.cancelled:
-            self._observe(call, answer, time.monotonic() - started_s)
+            self._counter.count(call, answer, time.monotonic() - started_s)
         self._event(
             "call-unknown" if answer.unknown else "call-ended",
             call,
@@ -413,30 +414,6 @@
             fields["reason"] = reason
         self._log.emit(event, fields, level)
 
-    def _observe(
-        self,
-        request: messages.CallRequest,
-        answer: messages.CallAnswer,
-        duration_s: float,
-    ) -> None:
-        failed = bool(answer.unknown) or answer.status >= _SERVER_ERROR
-        self._loop.put(
-            _effects.Observed(
-                key=outcomes.OutcomeKey(
-                    reporter=self._settings.node,
-                    incarnation=self.incarnation,
-                    service=request.service,
-                    version=request.version,
-                    route=request.route,
-                ),
-                added=outcomes.OutcomeCounts(
-                    calls=1,
-                    failures=int(failed),
-                    slow=int(duration_s > _SLOW_S),
-                ),
-            )
-        )
-
 
 def _refusal_reason(
     call: messages.CallRequest,
