--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -12,6 +12,7 @@
 from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
 from arbutusstall._systems import liveness
+from arbutusstall._systems import local_rollback
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import progress
@@ -20,6 +21,7 @@
 from arbutusstall._systems import rows
 from arbutusstall._systems import seats
 from arbutusstall._systems import tree
+from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
@@ -49,6 +51,7 @@
     messages.Alive: liveness.on_alive,
     messages.InForce: progress.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.RollbackNotice: local_rollback.on_notice,
     messages.SuspectReport: quarantine.on_report,
 }
 # These run after the handler of the same event.
@@ -82,6 +85,12 @@
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
         rows.put(self.tables, member, _clock.Instant(mono_s=0.0, wall_s=0.0))
 
+    @property
+    def has_children(self) -> bool:
+        """Whether other nodes stream from this one; for any thread."""
+        links_now = list(self.tables.links_by_peer.values())
+        return any(link.role is links.LinkRole.CHILD for link in links_now)
+
     def start(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Return the effects that begin the node's work."""
         return [
@@ -114,6 +123,7 @@
         effects += progress.run(self.tables, now)
         effects += lease.run(self.tables, now)
         effects += checkpoint.run(self.tables, now)
+        effects += outcomes.run(self.tables, now)
         effects += rollout.run(self.tables, now)
         return effects
 
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -13,6 +13,7 @@
 
 from arbutusstall import errors
 from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
 from arbutusstall._tables import relay
@@ -184,6 +185,13 @@
     rows: tuple[OutcomeRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RollbackNotice:
+    """Versions that the sender gives no traffic, with the evidence."""
+
+    rows: tuple[evidence.LocalRollback, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallRequest:
     """One attempt to run a caller's request at an inbound proxy.
@@ -300,6 +308,63 @@
     slots: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyGrant:
+    """The call that an Idempotency-Key was granted to.
+
+    Attributes:
+        node: Node whose inbound proxy the call is sent to.
+        inbound: Address of that proxy.
+        incarnation: Incarnation of that proxy.
+        sent_ms: Stamp of the call, on that proxy's clock.
+        granted_ms: Time of the grant, on the owner's clock.
+    """
+
+    call_id: str
+    fingerprint: str
+    node: str
+    inbound: str
+    incarnation: int
+    sent_ms: int
+    granted_ms: int = 0
+
+
+class KeyState(enum.Enum):
+    """How the owner of a key answers a claim."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    MISUSED = "misused"
+    UNSETTLED = "unsettled"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyClaim:
+    """Asks the owner of a key to grant it to a call.
+
+    Attributes:
+        replaces: Call that is known never to run, whose grant may be
+            replaced; empty if there is none.
+    """
+
+    service: str
+    key: str
+    grant: KeyGrant
+    replaces: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyClaimed:
+    """Answer to a claim.
+
+    Attributes:
+        grant: The call that has the key, if it is taken.
+    """
+
+    state: KeyState
+    grant: KeyGrant | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Suspect:
     """A request that was in flight when a target crashed.
@@ -336,12 +401,15 @@
     | Alive
     | InForce
     | OutcomeReport
+    | RollbackNotice
     | CallRequest
     | CallAnswer
     | CallRevoke
     | CallRevoked
     | CallGreeting
     | CallGreeted
+    | KeyClaim
+    | KeyClaimed
     | SuspectReport
 )
 
@@ -359,12 +427,15 @@
     "alive": Alive,
     "in-force": InForce,
     "outcomes": OutcomeReport,
+    "rollbacks": RollbackNotice,
     "call": CallRequest,
     "answer": CallAnswer,
     "revoke": CallRevoke,
     "revoked": CallRevoked,
     "greeting": CallGreeting,
     "greeted": CallGreeted,
+    "key-claim": KeyClaim,
+    "key-claimed": KeyClaimed,
     "suspects": SuspectReport,
 }
 _NAMES: abc.Mapping[type[Any], str] = {
