--- a/features/invariant_calls.feature
+++ b/features/invariant_calls.feature
@@ -39,3 +39,9 @@
     When a caller sends a crashing request through 6 nodes in turn
     Then at most 2 targets were lost to it
     And the time line holds own-whole-answer, not-run-is-true, at-most-once
+
+  Scenario: answers of targets are cut in the middle
+    Given a trial mesh of 2 nodes in 1 data centres with target behind proxies
+    And callers send 40 requests a second for 5 seconds
+    When answers of targets are cut at byte 60, 8 times
+    Then the time line holds own-whole-answer, at-most-once
--- a/features/invariant_configuration.feature
+++ b/features/invariant_configuration.feature
@@ -52,3 +52,10 @@
     Then the move ends as done within 30 seconds
     And another node claimed the lease meanwhile
     And the time line holds never-older, never-in-part, own-whole-answer
+
+  Scenario: a release with a dangling route is refused by every node
+    Given a trial mesh of 2 nodes in 1 data centres
+    When a record with a route to no service is appended unchecked
+    And a release adds 3 routes at once
+    Then the newest release is in force everywhere within 10 seconds
+    And the time line holds no-dangling-route, never-in-part
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -55,6 +55,17 @@
     _each_proxy(context, times, "reset", act)
 
 
+@behave.when("answers of targets are cut at byte {count:d}, {times:d} times")
+def cut_target_answers(context, count, times):
+    """Reset the link to a target in the middle of an answer."""
+    _each_proxy(
+        context,
+        times,
+        "target-cut",
+        lambda proxy: proxy.set(reset_at={fault_proxy.DOWN: count}, once=True),
+    )
+
+
 @behave.when(
     "links of inbound proxies lose one direction for {seconds:d} seconds"
 )
--- a/features/steps/trial_steps.py
+++ b/features/steps/trial_steps.py
@@ -9,8 +9,10 @@
 import mesh
 import trial
 
+from arbutusstall import _notes as notes
 from arbutusstall import _settings
 from arbutusstall._log import reader
+from arbutusstall._log import records
 from arbutusstall._shell import log_client
 
 # Every tool has read the log before the first append lands.
@@ -81,6 +83,27 @@
     context.trial.publish_ok(release)
 
 
+@behave.when("a record with a route to no service is appended unchecked")
+def append_dangling(context):
+    """Append what a tool without checks might publish."""
+    note = notes.ReleaseNote(
+        name="dangling",
+        add=notes.Items(
+            routes=(notes.RouteItem(prefix="/lost", service="nowhere"),)
+        ),
+    )
+    state = agreed_state(context)
+    record = records.ReleaseRecord(
+        record_id="release/dangling",
+        note=note,
+        digest="dangling",
+        published_s=time.time(),
+        seen={},
+        read_to=state.offset,
+    )
+    _log_client(context).append(records.encode(record))
+
+
 @behave.when("a release is published though the answer is lost")
 def publish_lost(context):
     """Publish until the tool says that it is accepted."""
@@ -287,10 +310,12 @@
 
 def agreed_state(context):
     """Fold the log as an operator's tool does."""
+    return reader.read_agreed(_log_client(context))
+
+
+def _log_client(context):
     url = f"http://{context.trial.mesh.log}"
-    return reader.read_agreed(
-        log_client.HttpLogClient(_settings.LogSettings(url=url))
-    )
+    return log_client.HttpLogClient(_settings.LogSettings(url=url))
 
 
 @behave.when("the leader is frozen for {seconds:d} seconds")
--- a/src/arbutusstall/_timeline/rollout_checks.py
+++ b/src/arbutusstall/_timeline/rollout_checks.py
@@ -9,7 +9,7 @@
 from arbutusstall._timeline import verdicts
 
 _SERVER_ERROR = 500
-_DECISIONS = ("rollout-rolled-back", "version-blocked")
+_DECISIONS = ("rollout-rolled-back", "local-rollback")
 
 
 def bad_version_contained(
--- /dev/null
+++ b/tests/mutant.py
@@ -0,0 +1,141 @@
+"""Runs a node with the mechanism of one invariant disabled.
+
+Usage: python -m mutant NAME run --settings FILE. The patch is applied
+in this process only; nothing under src/ knows of it.
+"""
+
+import dataclasses
+import os
+import sys
+
+from arbutusstall import _core
+from arbutusstall import _effects
+from arbutusstall._cli import node as program
+from arbutusstall._log import releases
+from arbutusstall._shell import http
+from arbutusstall._shell import inbound
+from arbutusstall._shell import node
+from arbutusstall._shell import outbound
+from arbutusstall._systems import comparison
+from arbutusstall._systems import deltas
+from arbutusstall._systems import distribution
+from arbutusstall._systems import keys
+from arbutusstall._systems import membership
+from arbutusstall._wire import messages
+
+
+def _never_older() -> None:
+    """Adopt any version, and hand down the one before the newest."""
+    adopt = distribution.adopt
+
+    def adopt_any(tables, snapshot, now, digest=""):
+        if tables.snapshot.version >= snapshot.version > 0:
+            tables.snapshot = dataclasses.replace(tables.snapshot, version=0)
+        return adopt(tables, snapshot, now, digest)
+
+    def hand_to(tables, peer):
+        olds = [old for old in tables.history.values() if old.version]
+        old = olds[-1] if olds else tables.snapshot
+        update = messages.SnapshotUpdate(
+            digest=deltas.digest(old), snapshot=old
+        )
+        return [_effects.Send(peer=peer, message=update)]
+
+    distribution.adopt = adopt_any
+    distribution.hand_to = hand_to
+
+
+def _no_dangling_route() -> None:
+    """Accept and adopt routes whose service is not there."""
+    releases._dangling = lambda *_: ""
+    distribution.dangling = lambda *_: False
+
+
+def _never_in_part() -> None:
+    """Apply each delta less one of its routes, and check no digest."""
+
+    def apply_part(base, delta):
+        routes = dict(base.routes_by_prefix)
+        routes.update(list(delta.changed.routes_by_prefix.items())[1:])
+        return dataclasses.replace(delta.changed, routes_by_prefix=routes)
+
+    deltas.apply = apply_part
+
+
+def _bad_version_contained() -> None:
+    """Condemn no version."""
+    comparison.is_bad = lambda *_: False
+    comparison.is_suspect = lambda *_: False
+
+
+def _own_whole_answer() -> None:
+    """Take the bytes of a broken exchange for the whole answer."""
+    send = http.Connection.send
+
+    def send_any(self, request):
+        try:
+            return send(self, request)
+        except http.errors.OutcomeUnknown:
+            return http.Response(status=200, headers=(), body=b"part")
+
+    http.Connection.send = send_any
+
+
+def _not_run_is_true() -> None:
+    """Say "not run" where the outcome is unknown."""
+    failed = outbound.Outbound._failed
+
+    def say_not_run(self, request_id, reason, status, outcome, call=None):
+        return failed(self, request_id, reason, status, "not-run", call)
+
+    outbound.Outbound._failed = say_not_run
+
+
+def _at_most_once() -> None:
+    """Grant each key to every call that claims it."""
+    granted = messages.KeyClaimed(state=messages.KeyState.GRANTED)
+    for name, kind in vars(keys).items():
+        if isinstance(kind, type) and "claim" in vars(kind):
+            getattr(keys, name).claim = lambda *_: granted
+
+
+def _leaving_gets_nothing() -> None:
+    """Neither refuse calls for a target that leaves nor spread it."""
+    inbound.Inbound.drain = lambda self: None
+    _core._EVENT_HANDLERS[_effects.Left] = lambda *_: []
+    membership.on_left = lambda *_: []
+
+
+def _planned_stop_cuts_nothing() -> None:
+    """End at once when told to stop."""
+
+    def stop(self):
+        self._log.emit("node-stopping")
+        os._exit(0)
+
+    node.Node._stop = stop
+
+
+def _in_force_everywhere() -> None:
+    """Look for no other parent when the link to one is lost."""
+    _core._EVENT_HANDLERS[_effects.LinkLost] = lambda *_: []
+    _core.tree._drop_silent = lambda *_: []
+
+
+MUTANTS = {
+    "never-older": _never_older,
+    "no-dangling-route": _no_dangling_route,
+    "never-in-part": _never_in_part,
+    "bad-version-contained": _bad_version_contained,
+    "own-whole-answer": _own_whole_answer,
+    "not-run-is-true": _not_run_is_true,
+    "at-most-once": _at_most_once,
+    "leaving-gets-nothing": _leaving_gets_nothing,
+    "planned-stop-cuts-nothing": _planned_stop_cuts_nothing,
+    "in-force-everywhere": _in_force_everywhere,
+}
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv.pop(1)]()
+    program.main()
