Measure convergence in the driver

Cause: convergence, control bytes and log load had no benchmark. Ruled out: letting member rows spread from nothing in each run; that took most of the time, so fleets begin acquainted. Change: benchmarks/convergence.py over fan-outs and the baseline in which every node reads the log; counters of relay bytes.

--- /dev/null
+++ b/benchmarks/convergence.py
@@ -0,0 +1,263 @@
+"""Convergence time, control bytes and log load in the driver.
+
+Run as ``python benchmarks/convergence.py [--short]`` with ``src`` and
+``tests`` on the path. The figures are those of the decision logic:
+each message takes 2 ms, and processing takes no time.
+"""
+
+import collections
+from concurrent import futures
+import dataclasses
+import os
+import sys
+
+import driver
+import fleet
+import report as report_form
+
+from arbutusstall import settings as node_settings
+
+_CENTRES = ("lipno", "rozmberk", "svet", "susarna", "jih")
+_COMMAND = "python benchmarks/convergence.py"
+_LIMIT_S = 4.0
+_LIMIT_BYTES = 12_000.0
+_LIMIT_APPENDS = 200.0
+_CHANGES = 10
+# 16,000 changes a day are one in 5.4 s.
+_CHANGE_EVERY_S = 5.4
+_BACK_AFTER_S = 30.0
+_FAN_OUT = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """One fleet to measure; no roots means all nodes read the log."""
+
+    nodes: int
+    fan_out: int
+    seed: int
+    roots: int = 3
+    returning: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figures:
+    """What one case gave.
+
+    Attributes:
+        times_s: Seconds until each node had each change.
+        bytes_s: Bytes sent per second by each node.
+        reads_s: Log reads per second of the whole fleet.
+        appends_s: Log appends per second of the whole fleet.
+        burst: Most appends in one second, a returning herd included.
+        back_s: Time until a returning data centre was attached again.
+        depth: Levels below the roots.
+    """
+
+    times_s: tuple[float, ...]
+    bytes_s: tuple[float, ...]
+    reads_s: float
+    appends_s: float
+    burst: int
+    back_s: float
+    depth: int
+
+
+def measure(case: Case) -> Figures:
+    """Drive one fleet through changes and, if asked, a herd."""
+    policy = node_settings.RelaySettings(
+        fan_out=case.fan_out, roots=case.roots
+    )
+    made = fleet.build(case.nodes, _CENTRES, seed=case.seed, relay=policy)
+    fleet.acquaint(made)
+    if case.roots:
+        roots = case.roots * len(_CENTRES)
+        fleet.wait(made, lambda: fleet.settled(made, roots), 60.0, 1.0)
+    fleet.converge(made, fleet.publish(made, services=30), 10.0)
+    made.run(10.0)
+    begin_s = made.now_s
+    sent = {n: t.sent_bytes for n, t in made.traffic_by_name.items()}
+    reads, appends = made.reads, made.appends
+    times_s: list[float] = []
+    for _ in range(_CHANGES):
+        times_s += _times(made, case)
+    elapsed_s = made.now_s - begin_s
+    labels = [c.tables.relay.label for c in made.cores_by_name.values()]
+    figures = Figures(
+        times_s=tuple(times_s),
+        bytes_s=tuple(
+            (t.sent_bytes - sent[n]) / elapsed_s
+            for n, t in made.traffic_by_name.items()
+        ),
+        reads_s=(made.reads - reads) / elapsed_s,
+        appends_s=(made.appends - appends) / elapsed_s,
+        burst=_burst(made, 0.0),
+        back_s=0.0,
+        depth=max(labels),
+    )
+    if not case.returning:
+        return figures
+    back_s, burst = _herd(made, case)
+    return dataclasses.replace(figures, back_s=back_s, burst=burst)
+
+
+def _times(made: driver.Driver, case: Case) -> list[float]:
+    made.emitted.clear()
+    published_s = made.now_s
+    version = fleet.publish(made)
+    made.run(_CHANGE_EVERY_S)
+    seen: dict[str, float] = {}
+    for at_s, name, emit in made.emitted:
+        if emit.event != "config-in-force":
+            continue
+        if int(emit.fields["version"]) >= version:
+            seen.setdefault(name, at_s - published_s)
+    missing = case.nodes - len(seen)
+    return [*seen.values(), *[float("inf")] * missing]
+
+
+def _herd(made: driver.Driver, case: Case) -> tuple[float, int]:
+    gone = [
+        core.tables.settings
+        for core in made.cores_by_name.values()
+        if core.tables.member.data_centre == _CENTRES[0]
+    ]
+    for settings in gone:
+        made.kill(settings.node)
+    made.run(_BACK_AFTER_S)
+    begin_s = made.now_s
+    for index in range(len(gone)):
+        new = fleet.settings(
+            case.nodes + index, _CENTRES[0], gone[index].relay
+        )
+        made.add(new)
+    roots = case.roots * len(_CENTRES)
+    back_s = fleet.wait(made, lambda: fleet.settled(made, roots), 120.0, 0.5)
+    return back_s, _burst(made, begin_s)
+
+
+def _burst(made: driver.Driver, since_s: float) -> int:
+    counts = collections.Counter(
+        int(at_s) for at_s in made.append_times if at_s >= since_s
+    )
+    return max(counts.values(), default=0)
+
+
+def cases(short: bool) -> list[Case]:
+    """Return what is measured."""
+    seeds = 2 if short else 20
+    found = [
+        Case(nodes=nodes, fan_out=_FAN_OUT, seed=seed)
+        for nodes in ((100, 300) if short else (100, 300, 1_000))
+        for seed in range(seeds)
+    ]
+    found += [
+        Case(nodes=300, fan_out=fan_out, seed=seed)
+        for fan_out in (4, 8, 32)
+        for seed in range(seeds)
+    ]
+    found += [
+        Case(nodes=nodes, fan_out=_FAN_OUT, seed=seed, roots=0)
+        for nodes in (100, 300)
+        for seed in range(seeds)
+    ]
+    found += [
+        Case(nodes=300, fan_out=_FAN_OUT, seed=seed, returning=True)
+        for seed in range(100, 100 + seeds)
+    ]
+    if not short:
+        found += [
+            Case(nodes=1_000, fan_out=fan_out, seed=seed)
+            for fan_out in (4, 8, 32)
+            for seed in range(5)
+        ]
+        found.append(
+            Case(nodes=8_000, fan_out=_FAN_OUT, seed=1, returning=True)
+        )
+    return found
+
+
+def report(short: bool) -> report_form.Report:
+    """Measure all cases and return their table."""
+    todo = cases(short)
+    # The largest first: they take the longest.
+    todo.sort(key=lambda case: -case.nodes)
+    workers = 2 if short else max(1, (os.cpu_count() or 2) // 2)
+    groups: dict[tuple[int, int, int, bool], list[Figures]] = {}
+    with futures.ProcessPoolExecutor(max_workers=workers) as pool:
+        for case, figures in zip(todo, pool.map(measure, todo), strict=True):
+            key = (case.nodes, case.roots, case.fan_out, case.returning)
+            groups.setdefault(key, []).append(figures)
+    rows = tuple(_row(key, groups[key]) for key in sorted(groups))
+    tree = [
+        figures for key, group in groups.items() if key[1] for figures in group
+    ]
+    return report_form.Report(
+        title="Convergence in the driver",
+        command=_COMMAND + (" --short" if short else ""),
+        header=(
+            "nodes",
+            "way",
+            "seeds",
+            "median s",
+            "p99 s",
+            "max s",
+            "mean B/s a node",
+            "max B/s a node",
+            "log appends/s",
+            "log reads/s",
+            "most appends in 1 s",
+            "levels",
+            "herd back s",
+        ),
+        rows=rows,
+        bounds=(
+            report_form.at_most(
+                "tree: last node in force, s",
+                max(max(item.times_s) for item in tree),
+                _LIMIT_S,
+            ),
+            report_form.at_most(
+                "tree: control of any node, B/s",
+                max(max(item.bytes_s) for item in tree),
+                _LIMIT_BYTES,
+            ),
+            report_form.at_most(
+                "tree: most log appends in a second",
+                max(item.burst for item in tree),
+                _LIMIT_APPENDS,
+            ),
+        ),
+        remarks=(
+            "Bytes count 120 for the frames of each message. A message"
+            " takes 2 ms, processing none.",
+        ),
+    )
+
+
+def _row(
+    key: tuple[int, int, int, bool], group: list[Figures]
+) -> tuple[str, ...]:
+    nodes, roots, fan_out, returning = key
+    times = [value for item in group for value in item.times_s]
+    rates = [value for item in group for value in item.bytes_s]
+    way = f"tree of {fan_out}" if roots else "every node reads the log"
+    return (
+        f"{nodes:,}",
+        way + (", herd" if returning else ""),
+        str(len(group)),
+        f"{report_form.quantile(times, 0.5):.3f}",
+        f"{report_form.quantile(times, 0.99):.3f}",
+        f"{max(times):.3f}",
+        f"{sum(rates) / len(rates):.0f}",
+        f"{max(rates):.0f}",
+        f"{sum(item.appends_s for item in group) / len(group):.1f}",
+        f"{sum(item.reads_s for item in group) / len(group):.1f}",
+        str(max(item.burst for item in group)),
+        str(max(item.depth for item in group)),
+        f"{max(item.back_s for item in group):.1f}" if returning else "-",
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(report_form.run_main(report))
--- a/src/arbutusstall/_shell/relay.py
+++ b/src/arbutusstall/_shell/relay.py
@@ -7,6 +7,7 @@
 import threading
 
 import grpc
+import prometheus_client
 
 from arbutusstall import _effects
 from arbutusstall import errors
@@ -15,6 +16,15 @@
 
 LOG = logging.getLogger(__name__)
 
+_SENT = prometheus_client.Counter(
+    "arbutusstall_relay_sent_bytes",
+    "Bytes of messages queued for other nodes.",
+)
+_RECEIVED = prometheus_client.Counter(
+    "arbutusstall_relay_received_bytes",
+    "Bytes of messages that came from other nodes.",
+)
+
 _METHOD = "/arbutusstall.Relay/Attach"
 # Each accepted stream holds a thread: the children, the other roots and
 # joiners that are about to be refused.
@@ -51,6 +61,7 @@
             if full or self._queued_bytes + len(data) > _MAX_QUEUED_BYTES:
                 return False
             self._queued_bytes += len(data)
+        _SENT.inc(len(data))
         self._queue.put(data)
         return True
 
@@ -168,6 +179,7 @@
                 call = attach(stream.outbox.drain())
                 stream.cancel = call.cancel
                 for data in call:
+                    _RECEIVED.inc(len(data))
                     self._receive(stream, messages.decode(data))
         except grpc.RpcError as exc:
             reason = str(exc.code())
@@ -210,6 +222,7 @@
     def _pump(self, stream: _Stream, incoming: abc.Iterator[bytes]) -> None:
         try:
             for data in incoming:
+                _RECEIVED.inc(len(data))
                 self._receive(stream, messages.decode(data))
         except errors.WireError:
             stream.cancel()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """Builds fleets of nodes for the driver and publishes to them."""
 
+import collections
 from collections import abc
 import dataclasses
 import itertools
@@ -9,6 +10,7 @@
 from arbutusstall import _notes
 from arbutusstall import settings as node_settings
 from arbutusstall._log import records
+from arbutusstall._systems import rows
 from arbutusstall._tables import agreed
 
 _numbers = itertools.count()
@@ -51,6 +53,27 @@
     return made
 
 
+def acquaint(made: driver.Driver) -> None:
+    """Let all nodes know each other before time begins to move.
+
+    Nodes that were there for long know the table; without this its
+    first spread would take most of a benchmark's time.
+    """
+    cores = list(made.cores_by_name.values())
+    first = cores[0].tables
+    now = made.clock.now()
+    for core in cores[1:]:
+        rows.put(first, core.tables.member, now)
+    counts = collections.Counter(
+        row.data_centre for row in first.members_by_node.values()
+    )
+    for core in cores:
+        tables = core.tables
+        tables.members_by_node = dict(first.members_by_node)
+        tables.spread.buckets = list(first.spread.buckets)
+        tables.spread.local_live = counts[tables.member.data_centre]
+
+
 def release(name: str, services: int = 1) -> records.ReleaseRecord:
     """Return a release that adds services with a route each."""
     names = [f"{name}-{index}" for index in range(services)]
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -77,8 +77,8 @@
         self.spawn("log", "-m", "standins.log", port, *self._log_options)
         self.wait_for(f"http://{self.log}/counts")
 
-    def start_node(self, spec: NodeSpec) -> RunningNode:
-        """Start a node and its target."""
+    def start_node(self, spec: NodeSpec, target: bool = True) -> RunningNode:
+        """Start a node and the target beside it."""
         if spec.name not in self.nodes_by_name:
             callers, inbound, relay, admin, target = free_addresses(5)
             self.nodes_by_name[spec.name] = RunningNode(
@@ -100,7 +100,8 @@
             "--settings",
             str(path),
         )
-        self.start_target(spec.name)
+        if target:
+            self.start_target(spec.name)
         return running
 
     def start_target(self, name: str) -> None:
