Prove the note program against a faulty log

Change: features/note.feature runs the program inside the test process against the log stand-in (answers lost, out, out after the write) and real nodes (a frozen node, killed roots).

--- /dev/null
+++ b/features/steps/note_steps.py
@@ -0,0 +1,181 @@
+"""Steps for the program arbutusstall-note."""
+
+import json
+import signal
+
+import behave
+import mesh
+import programs
+
+from arbutusstall import settings as node_settings
+from arbutusstall._log import reader
+from arbutusstall._shell import log_client
+
+_BASE = {
+    "add": {
+        "services": [{"name": "kvoty"}],
+        "routes": [{"prefix": "/kvoty", "service": "kvoty"}],
+    },
+    "shares": [{"service": "kvoty", "percent_by_version": {"v1": 100}}],
+}
+_DANGLING = {"add": {"routes": [{"prefix": "/vazeni", "service": "vazeni"}]}}
+_WITHDRAWAL = {"withdraw": {"services": ["kvoty"], "routes": ["/kvoty"]}}
+
+
+def _write(context, body, name=None):
+    path = context.path
+    name = name or path.name.partition(".")[0]
+    path.write_text(json.dumps({"name": name, **body}))
+
+
+@behave.given("the platform log")
+def start_log(context):
+    """Start the log and no node."""
+    context.mesh = mesh.Mesh(context.directory)
+    context.mesh.start_log()
+
+
+@behave.given("the release file {name} that adds kvoty")
+def base_file(context, name):
+    """Write a release that works."""
+    context.path = context.directory / name
+    _write(context, _BASE)
+
+
+@behave.given(
+    "the release file {name} that routes to a service that is not there"
+)
+def dangling_file(context, name):
+    """Write a release that does not fit."""
+    context.path = context.directory / name
+    _write(context, _DANGLING)
+
+
+@behave.step("the file changes to withdraw kvoty")
+def change_file(context):
+    """Change the content and keep the name."""
+    _write(context, _WITHDRAWAL)
+
+
+@behave.step("the file changes to withdraw kvoty under another name")
+def change_name(context):
+    """Change the content and the name."""
+    _write(context, _WITHDRAWAL, name="other")
+
+
+@behave.when("the log's faults are {faults}")
+def set_faults(context, faults):
+    """Inject faults."""
+    context.mesh.set_log_faults(**json.loads(faults))
+
+
+def _arguments(context, text):
+    path = str(getattr(context, "path", "FILE"))
+    return [path if word == "FILE" else word for word in text.split()]
+
+
+@behave.when('arbutusstall-note runs "{text}"')
+def run(context, text):
+    """Run the program with the log's address."""
+    arguments = _arguments(context, text)
+    url = f"http://{context.mesh.log}"
+    context.done = programs.run("note", *arguments, "--log", url)
+
+
+@behave.when('arbutusstall-note runs "{text}" as it stands')
+def run_plain(context, text):
+    """Run the program with nothing added."""
+    context.done = programs.run("note", *_arguments(context, text))
+
+
+@behave.then('it exits with {code:d} and prints "{text}"')
+def prints(context, code, text):
+    """Check the exit code and the output."""
+    assert context.done.returncode == code, context.done
+    assert text in context.done.stdout, context.done
+
+
+@behave.then('it exits with {code:d} and prints ""')
+def exits(context, code):
+    """Check the exit code."""
+    assert context.done.returncode == code, context.done
+
+
+@behave.then('it prints "{text}"')
+def prints_too(context, text):
+    """Check the output."""
+    assert text in context.done.stdout, context.done
+
+
+@behave.then('it exits with {code:d} and complains "{text}"')
+def complains(context, code, text):
+    """Check the exit code and the one line of the complaint."""
+    assert context.done.returncode == code, context.done
+    assert text in context.done.stderr, context.done
+    assert "Traceback" not in context.done.stderr, context.done
+
+
+@behave.then('it exits with {code:d} and complains ""')
+def complains_somehow(context, code):
+    """Check the exit code and that something was said."""
+    complains(context, code, "")
+    assert context.done.stderr.strip(), context.done
+
+
+@behave.then("the log holds {count:d} record")
+@behave.then("the log holds {count:d} records")
+def holds(context, count):
+    """Check the number of appends."""
+    assert int(context.mesh.log_counts()["appends"]) == count
+
+
+@behave.then("the log's release {name} is accepted once")
+def accepted_once(context, name):
+    """Check the agreed state."""
+    log = log_client.HttpLogClient(
+        node_settings.LogSettings(url=f"http://{context.mesh.log}")
+    )
+    state = reader.read_agreed(log)
+    outcome = state.releases_by_name[name]
+    assert state.snapshot.version == outcome.offset + 1, state.snapshot
+    assert len(state.releases_by_name) == 1, state.releases_by_name
+
+
+def _roots(context):
+    return [
+        name
+        for name in context.mesh.nodes_by_name
+        if context.mesh.status(name)["root"]
+    ]
+
+
+@behave.when("a node that is no root is frozen")
+def freeze(context):
+    """Stop a node that has a parent."""
+    roots = _roots(context)
+    context.frozen = next(
+        name for name in context.mesh.nodes_by_name if name not in roots
+    )
+    context.mesh.signal(context.frozen, signal.SIGSTOP)
+
+
+@behave.then(
+    "it exits with {code:d} and complains the name of the frozen node"
+)
+def names_frozen(context, code):
+    """Check who lacks the release."""
+    complains(context, code, context.frozen)
+
+
+@behave.when("the node wakes")
+def wake(context):
+    """Let the frozen node go on."""
+    context.mesh.signal(context.frozen, signal.SIGCONT)
+
+
+@behave.when("all roots are killed")
+def kill_roots(context):
+    """Leave nobody who sums up the mesh."""
+    assert context.mesh.wait_until(lambda: len(_roots(context)) > 0, 20.0)
+    for name in list(context.mesh.nodes_by_name):
+        context.mesh.kill(name)
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -22,12 +22,14 @@
         out: Answer every request with 503.
         delay_s: Wait before each answer.
         lose_answers: Store appends but break their answers off.
+        out_after: Be out once this many records are stored; 0 for never.
         expired_to: Records before this offset have expired.
     """
 
     out: bool = False
     delay_s: float = 0.0
     lose_answers: bool = False
+    out_after: int = 0
     expired_to: int = 0
 
 
@@ -127,17 +129,21 @@
             return _json(self._log.counts())
         faults = self._log.faults
         time.sleep(faults.delay_s)
-        if faults.out:
+        if self._out():
             return wrappers.Response("out\n", 503)
         if request.method == "POST":
             return self._append(request, faults)
         offset = request.args.get("from", 0, type=int)
         wait_ms = request.args.get("wait_ms", 0, type=int)
         answer = self._log.read(offset, wait_ms / 1000)
-        if self._log.faults.out:
+        if self._out():
             return wrappers.Response("out\n", 503)
         return _json(answer)
 
+    def _out(self) -> bool:
+        faults = self._log.faults
+        return faults.out or 0 < faults.out_after <= self._log.appends
+
     def _append(self, request, faults):
         offset = self._log.append(request.get_data(as_text=True))
         if offset is None:
