--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -15,6 +15,7 @@
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import progress
+from arbutusstall._systems import quarantine
 from arbutusstall._systems import rollout
 from arbutusstall._systems import rows
 from arbutusstall._systems import seats
@@ -32,6 +33,7 @@
     _effects.Left: membership.on_left,
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
+    _effects.TargetCrashed: quarantine.on_crashed,
 }
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
@@ -47,6 +49,7 @@
     messages.Alive: liveness.on_alive,
     messages.InForce: progress.on_in_force,
     messages.OutcomeReport: outcomes.on_report,
+    messages.SuspectReport: quarantine.on_report,
 }
 # These run after the handler of the same event.
 _FOLLOW_UPS: dict[type[Any], _Handler] = {
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -99,6 +99,13 @@
     added: outcomes.OutcomeCounts
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetCrashed:
+    """The target beside this node crashed with requests in flight."""
+
+    suspects: tuple[messages.Suspect, ...]
+
+
 Event = (
     LogRead
     | LogFailed
@@ -108,6 +115,7 @@
     | Announced
     | Left
     | Observed
+    | TargetCrashed
 )
 
 
@@ -184,6 +192,13 @@
     view: View
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Suspected:
+    """Run these requests with care from now on."""
+
+    rows: tuple[messages.Suspect, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Emit:
     """Write an event line to the process log."""
@@ -202,5 +217,6 @@
     | Disconnect
     | Send
     | PutInForce
+    | Suspected
     | Emit
 )
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -81,6 +81,9 @@
         default_factory=dict
     )
     attaching_to: str = ""
+    suspect_expiry_by_mark: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
     relay: relay_tables.RelayTable = dataclasses.field(
         default_factory=relay_tables.RelayTable
     )
