--- a/features/log_append.feature
+++ b/features/log_append.feature
@@ -43,6 +43,7 @@
 
   Scenario: real processes lose no decision while answers are lost
     Given a mesh of 2 nodes of service kvoty in lipno
+    And a node beside version v2 of kvoty in lipno
     When a release routes /kvoty to version v1 of kvoty
     And the log loses every answer while a move to v2 over 2 seconds is published
     Then the publication is known to be accepted
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -13,6 +13,7 @@
 
 from arbutusstall import errors
 from arbutusstall._tables import agreed
+from arbutusstall._tables import evidence
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
 from arbutusstall._tables import relay
@@ -184,6 +185,13 @@
     rows: tuple[OutcomeRow, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RollbackNotice:
+    """Versions that the sender gives no traffic, with the evidence."""
+
+    rows: tuple[evidence.LocalRollback, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CallRequest:
     """One attempt to run a caller's request at an inbound proxy.
@@ -336,6 +344,7 @@
     | Alive
     | InForce
     | OutcomeReport
+    | RollbackNotice
     | CallRequest
     | CallAnswer
     | CallRevoke
@@ -359,6 +368,7 @@
     "alive": Alive,
     "in-force": InForce,
     "outcomes": OutcomeReport,
+    "rollbacks": RollbackNotice,
     "call": CallRequest,
     "answer": CallAnswer,
     "revoke": CallRevoke,
