--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -51,6 +51,18 @@
     admin: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdvertiseSettings:
+    """Addresses that others use, ``IP:PORT``, where they differ.
+
+    An empty one is the same as in `AddressSettings`.
+    """
+
+    inbound: str = ""
+    relay: str = ""
+    admin: str = ""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LogSettings:
     """How to reach the platform log; times in seconds.
@@ -216,7 +228,7 @@
     queue_ms: int = 200
     default_deadline_ms: int = 5_000
     max_deadline_ms: int = 60_000
-    horizon_ms: int = 30_000
+    horizon_ms: int = 60_000
     remembered: int = 20_000
     remembered_bytes: int = 16_000_000
     probe_share: float = 0.4
@@ -235,6 +247,8 @@
         data_centre: Where it runs, such as ``"lipno"``.
         region: Region of the data centre.
         seeds: Relay addresses to ask when the log is out at start.
+        advertise: Addresses told to others, such as those of a
+            translating gateway before this node.
     """
 
     node: str
@@ -243,6 +257,7 @@
     log: LogSettings
     region: str = "main"
     seeds: tuple[str, ...] = ()
+    advertise: AdvertiseSettings = AdvertiseSettings()
     lease: LeaseSettings = LeaseSettings()
     checkpoint: CheckpointSettings = CheckpointSettings()
     relay: RelaySettings = RelaySettings()
--- a/src/arbutusstall/_systems/seats.py
+++ b/src/arbutusstall/_systems/seats.py
@@ -271,7 +271,8 @@
             incarnation=own.incarnation,
             data_centre=own.data_centre,
             address=own.relay,
-            admin=tables.settings.addresses.admin,
+            admin=tables.settings.advertise.admin
+            or tables.settings.addresses.admin,
             seat=seat,
             replaces=replaces,
         )
