Hand the lease over when the leader stops

Cause: a leader that stopped left the mesh without one for a whole term; each group of chunks encoded the state anew; the driver dropped appends during an outage, where the shell repeats them.

Change: the stopping holder appends a claim without a holder, which others replace at once. A checkpoint is encoded when it is begun. The driver repeats unanswered appends, of lease records the newest alone.

--- a/features/log_lease.feature
+++ b/features/log_lease.feature
@@ -32,3 +32,15 @@
     When the log is out for 60 seconds
     Then the node does not claim the lease while it is out
     And it waits a whole term after the outage before it claims
+
+  Scenario: a leader that stops hands the lease over
+    Given a root node that claims the lease
+    When its claim is read back 0 seconds after it was sent
+    And the leader's node stops
+    Then another root claims the lease without waiting
+
+  Scenario: a leader puts a checkpoint on the log by itself
+    Given a root node that claims the lease
+    When its claim is read back 0 seconds after it was sent
+    And it ticks for 30 seconds with a checkpoint due every 10 seconds
+    Then the log holds 3 whole checkpoints of its lease
--- a/features/steps/log_lease_steps.py
+++ b/features/steps/log_lease_steps.py
@@ -7,7 +7,9 @@
 import log_samples
 
 from arbutusstall import protocols
+from arbutusstall import settings as node_settings
 from arbutusstall._log import records
+from arbutusstall._systems import checkpoint
 from arbutusstall._systems import lease
 
 _RENEW_S = 1.0
@@ -211,3 +213,59 @@
         waited_s += 0.1
         assert waited_s < 10 * _EXPIRE_S
     assert waited_s >= _EXPIRE_S - 0.01, waited_s
+
+
+@behave.when("the leader's node stops")
+def leader_stops(context):
+    """Stop it and put what it appends on the log."""
+    now = context.clock.now()
+    context.core.handle(
+        protocols.Left(reason="node stops", stopping=True), now
+    )
+    appended = _lease_run(context)
+    assert len(appended) == 1, appended
+    context.log.put(appended[0])
+    context.core.handle(context.log.read(), now)
+    assert not _lease_run(context)
+    assert not lease.is_leader(context.core.tables, now)
+
+
+@behave.then("another root claims the lease without waiting")
+def other_claims(context):
+    """Tick a second root at the same time."""
+    context.core = _core(context.clock, name="kvoty-1")
+    context.core.handle(context.log.read(), context.clock.now())
+    appended = _lease_run(context)
+    assert [record.holder for record in appended] == ["kvoty-1"], appended
+
+
+@behave.when(
+    "it ticks for {seconds:d} seconds with a checkpoint due every "
+    "{every:d} seconds"
+)
+def tick_checkpoints(context, seconds, every):
+    """Carry out what the lease and the checkpoints ask for."""
+    tables = context.core.tables
+    tables.settings = dataclasses.replace(
+        tables.settings,
+        checkpoint=node_settings.CheckpointSettings(every_s=float(every)),
+    )
+    context.whole = set()
+    for _ in range(seconds * 10):
+        context.clock.advance(0.1)
+        now = context.clock.now()
+        effects = lease.run(tables, now) + checkpoint.run(tables, now)
+        for effect in effects:
+            context.log.put(effect.record)
+        context.core.handle(context.log.read(tables.agreed.offset), now)
+        newest = context.log.state.checkpoint
+        if newest is not None:
+            context.whole.add((newest.through, newest.lease))
+
+
+@behave.then("the log holds {count:d} whole checkpoints of its lease")
+def whole_checkpoints(context, count):
+    """Check how many became whole."""
+    assert len(context.whole) == count, context.whole
+    leases = {lease_offset for _, lease_offset in context.whole}
+    assert leases == {context.log.state.lease.offset}, context.whole
--- a/src/arbutusstall/_systems/checkpoint.py
+++ b/src/arbutusstall/_systems/checkpoint.py
@@ -10,12 +10,14 @@
 
 
 def on_begun(tables: node.Tables, state: agreed.Agreed) -> None:
-    """Keep the state that a checkpoint of the own lease is made of."""
+    """Encode the state if the own lease has begun a checkpoint."""
     begun = state.begun
-    if begun is None or state.lease.holder != tables.member.node:
+    if begun is None or begun.accepted:
         return
-    if begun.accepted == 0:
-        tables.checkpoint_state = state
+    tables.checkpoint_chunks = ()
+    if state.lease.holder == tables.member.node:
+        chunk_bytes = tables.settings.checkpoint.chunk_bytes
+        tables.checkpoint_chunks = checkpoint.chunks(state, chunk_bytes)
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
@@ -64,12 +66,11 @@
     tables: node.Tables, begun: agreed.Checkpoint, now: _clock.Instant
 ) -> list[_effects.Effect]:
     policy = tables.settings.checkpoint
-    state = tables.checkpoint_state
-    if state is None or state.offset != begun.through:
-        return []
-    chunks = checkpoint.chunks(state, policy.chunk_bytes)
     missing = [
-        chunk for chunk in chunks if not begun.accepted >> chunk.index & 1
+        chunk
+        for chunk in tables.checkpoint_chunks
+        if chunk.through == begun.through
+        and not begun.accepted >> chunk.index & 1
     ]
     tables.next_checkpoint_s = now.mono_s + policy.chunk_s
     return [
--- a/src/arbutusstall/_systems/lease.py
+++ b/src/arbutusstall/_systems/lease.py
@@ -23,7 +23,9 @@
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    """Renew the own lease or claim an expired one."""
+    """Renew the own lease, hand it over, or claim an expired one."""
+    if tables.relay.leaving:
+        return _hand_over(tables)
     if not tables.is_root or not tables.caught_up:
         return []
     if now.mono_s < tables.next_renewal_s:
@@ -41,6 +43,20 @@
     return [_claim(tables, now)]
 
 
+def _hand_over(tables: node.Tables) -> list[_effects.Effect]:
+    """Leave the lease without a holder, so that others claim it at once."""
+    lease = tables.agreed.lease
+    if lease.holder != tables.member.node or tables.lease_held_from_s is None:
+        return []
+    tables.lease_held_from_s = None
+    record = records.LeaseClaim(
+        record_id=_record_id(tables, "release"),
+        holder="",
+        replaces=lease.offset,
+    )
+    return [_effects.Append(record=record)]
+
+
 def _renewal(tables: node.Tables, now: _clock.Instant) -> _effects.Append:
     lease = tables.agreed.lease
     tables.lease_sequence = max(tables.lease_sequence, lease.sequence) + 1
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -6,6 +6,7 @@
 
 from arbutusstall import _settings
 from arbutusstall._log import follower as log_follower
+from arbutusstall._log import records
 from arbutusstall._tables import agreed as agreed_tables
 from arbutusstall._tables import evidence
 from arbutusstall._tables import links
@@ -34,7 +35,7 @@
             process sent it.
         log_failing: Whether the last read got no answer.
         log_behind: Whether the log ends before what was folded.
-        checkpoint_state: State of the last checkpoint begun here.
+        checkpoint_chunks: Of the last checkpoint begun here.
         blocked: Versions rolled back locally, ``"service/version"``.
         outcome_news: Rows to report next and the peer they came from,
             empty for the own inbound proxy.
@@ -77,7 +78,7 @@
     )
     log_failing: bool = False
     log_behind: bool = False
-    checkpoint_state: agreed_tables.Agreed | None = None
+    checkpoint_chunks: tuple[records.CheckpointChunk, ...] = ()
     next_checkpoint_s: float = 0.0
     lease_seen_offset: int = agreed_tables.NO_LEASE
     next_renewal_s: float = 0.0
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -16,6 +16,7 @@
 from arbutusstall._wire import messages
 
 _LOST_AFTER_S = 0.05
+_RETRY_CAP_S = 2.0
 # What HTTP/2, TCP and IP add to a small message, with its share of
 # acknowledgements.
 FRAME_BYTES = 120
@@ -47,6 +48,7 @@
         self.append_times: list[float] = []
         self.reads = 0
         self.log_out = False
+        self._unanswered_by_key: dict[tuple[str, str], records.Record] = {}
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.one_way: set[tuple[str, str]] = set()
@@ -176,12 +178,25 @@
                     )
 
     def _append(self, name: str, record: records.Record) -> None:
+        key = (name, records.queue_key(record))
         if self.log_out:
-            self.put(name, protocols.LogFailed(reason="out", record=record))
+            # As the shell does: repeat, the newest lease record alone.
+            self._unanswered_by_key[key] = record
+            self.after(
+                self.rng.uniform(0.0, _RETRY_CAP_S),
+                lambda: self._repeat(name, record),
+            )
             return
+        self._unanswered_by_key.pop(key, None)
         offset = self.append(record)
         self.put(name, protocols.Appended(offset=offset, record=record))
 
+    def _repeat(self, name: str, record: records.Record) -> None:
+        key = (name, records.queue_key(record))
+        newest = self._unanswered_by_key.get(key)
+        if newest is record and name in self.cores_by_name:
+            self._append(name, record)
+
     def _read(self, name: str, offset: int) -> None:
         if name not in self._followers:
             return
