--- a/features/log_append.feature
+++ b/features/log_append.feature
@@ -30,6 +30,11 @@
     When the same release comes three times
     Then the queue holds 1 release
 
+  Scenario: a record that is being sent is not queued again
+    Given a queue of at most 3 pending appends
+    When a release comes again while it is sent, and is then answered
+    Then the queue holds 0 release
+
   Scenario: delays between attempts are drawn below a growing limit
     Given a queue of at most 3 pending appends
     When an append fails 12 times
--- a/features/log_checkpoint.feature
+++ b/features/log_checkpoint.feature
@@ -26,6 +26,12 @@
       | is of a replaced lease         |
       | says it holds 2000 chunks      |
 
+  Scenario: a damaged copy of a chunk does no harm beside a good one
+    Given a leader that has put 1 checkpoints on a log of 40 releases
+    When all records before the last checkpoint expire
+    And the first chunk stands on the log again, damaged, before the last one
+    Then a fresh reader has the leader's state
+
   Scenario: a reader that fell behind keeps its state until the checkpoint
     Given a leader that has put 1 checkpoints on a log of 40 releases
     And a reader that stopped after 10 records
--- a/features/log_fold.feature
+++ b/features/log_fold.feature
@@ -74,6 +74,12 @@
     And a repeated record of the first of them changes nothing
     And the first of them published again is turned away by "$.name: an earlier release had this name; its outcome is not kept"
 
+  Scenario: a repeated record older than all that is remembered
+    Given a log on which release base added kvoty and its route
+    And only 20 outcomes and 5 forgotten names are kept
+    When a release adds /x, another withdraws it, and 60 others follow
+    Then the first one's record, repeated, does not bring /x back
+
   Scenario: any repetition and any split into reads give the same state
     Then 60 generated logs fold to the same state with records repeated
     And 60 generated logs fold to the same state however they are read
--- a/features/steps/log_append_steps.py
+++ b/features/steps/log_append_steps.py
@@ -175,6 +175,16 @@
     assert context.queue.failed(item, 3.0)
 
 
+@behave.when("a release comes again while it is sent, and is then answered")
+def queue_sent(context):
+    """Queue a record that is on its way."""
+    record = _release("a")
+    assert context.queue.add(record, 0.0)
+    item = context.queue.take(0.0)
+    assert context.queue.add(record, 1.0)
+    context.queue.answered(item)
+
+
 @behave.when("an append fails {count:d} times")
 def fail_often(context, count):
     """Note the delay before each attempt."""
--- a/features/steps/log_checkpoint_steps.py
+++ b/features/steps/log_checkpoint_steps.py
@@ -129,6 +129,24 @@
         )
 
 
+@behave.when(
+    "the first chunk stands on the log again, damaged, before the last one"
+)
+def damaged_copy(context):
+    """Put a broken copy where the last chunk stood, and that at the end."""
+    log = context.log
+    first = context.chunks[0]
+    flipped = bytes([first.data[0] ^ 1]) + first.data[1:]
+    broken = records.encode(dataclasses.replace(first, data=flipped))
+    entries = list(log.entries)
+    place = context.chunk_offsets[-1]
+    entries[place : place + 1] = [broken, entries[place]]
+    context.log = log_samples.FoldedLog()
+    for entry in entries:
+        context.log.put(entry)
+    assert context.log.state.checkpoint is not None
+
+
 def _rewrite(context, **changes):
     for offset, chunk in zip(
         context.chunk_offsets, context.chunks, strict=True
--- a/features/steps/log_fold_steps.py
+++ b/features/steps/log_fold_steps.py
@@ -11,6 +11,7 @@
 from arbutusstall._log import fold
 from arbutusstall._log import follower
 from arbutusstall._log import publishing
+from arbutusstall._log import releases
 from arbutusstall._tables import agreed
 
 _DAMAGED = {
@@ -169,6 +170,50 @@
     refused(context, "r0", reason)
 
 
+@behave.given("only {kept:d} outcomes and {names:d} forgotten names are kept")
+def small_memory(context, kept, names):
+    """Shrink the memory so that a test can overrun it."""
+    limits = {
+        "RELEASES_KEPT": kept,
+        "RELEASES_BATCH": names,
+        "FORGOTTEN_BATCHES": 1,
+    }
+    for name, value in limits.items():
+        patch = mock.patch.object(releases, name, value)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@behave.when(
+    "a release adds /x, another withdraws it, and {count:d} others follow"
+)
+def forget_all(context, count):
+    """Overrun the memory."""
+    log = context.log
+    added = {"routes": [log_samples.route("/x")]}
+    context.record = log.release("in", {"add": added})
+    log.release("out", {"withdraw": {"routes": ["/x"]}})
+    _change_often(log, count)
+    state = log.state
+    assert not releases.forgotten(state, "in")
+    assert "in" not in state.releases_by_name
+    assert "route//x" not in state.item_offsets_by_key
+
+
+def _change_often(log, count):
+    """Change one route again and again."""
+    for index in range(count):
+        route = log_samples.route("/kvoty", index + 1)
+        log.release(f"r{index}", {"change": {"routes": [route]}})
+
+
+@behave.then("the first one's record, repeated, does not bring /x back")
+def stays_out(context):
+    """Repeat an append from before all memory."""
+    context.log.put(context.record)
+    assert "/x" not in context.log.state.snapshot.routes_by_prefix
+
+
 @behave.then(
     "{count:d} generated logs fold to the same state with records repeated"
 )
