--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -50,7 +50,7 @@
         self._longest_call_s = settings.calls.max_deadline_ms / 1000 + 1
         self._admin = web.WebServer(
             settings.addresses.admin,
-            admin.Admin(self._core, self._loop, self._inbound),
+            admin.Admin(self._core, self._loop, self._inbound, self._outbound),
         )
         self._register()
 
