Fold steps and releases with less copying

Cause: each share decision looked for ended rollouts to drop, and each release built the keys of all items and walked all routes.

Change: rollouts are dropped when one ended; a release looks its own items up, and walks the routes only if it withdraws a service.

--- a/src/arbutusstall/_log/releases.py
+++ b/src/arbutusstall/_log/releases.py
@@ -122,15 +122,17 @@
 def _misplaced(
     old: tables.Snapshot, note: _notes.ReleaseNote
 ) -> abc.Iterator[_files.Problem]:
-    there = {f"service/{name}" for name in old.services_by_name}
-    there |= {f"route/{prefix}" for prefix in old.routes_by_prefix}
     for path, key in _notes.keys(note):
-        if key.startswith("shares/"):
+        kind, _, name = key.partition("/")
+        if kind == "shares":
             continue
-        if path.startswith("$.add.") and key in there:
+        there = name in (
+            old.services_by_name if kind == "service" else old.routes_by_prefix
+        )
+        if path.startswith("$.add.") and there:
             reason = f"{key} exists and cannot be added"
             yield _files.Problem(path=path, reason=reason)
-        if not path.startswith("$.add.") and key not in there:
+        if not path.startswith("$.add.") and not there:
             yield _files.Problem(path=path, reason=f"{key} does not exist")
 
 
@@ -182,6 +184,8 @@
             yield path, f"route/{route.prefix}", route.service
     for index, share in enumerate(note.shares):
         yield f"$.shares[{index}].service", "the item", share.service
+    if not note.withdraw.services:
+        return
     for prefix, kept in sorted(old.routes_by_prefix.items()):
         if prefix not in touched:
             yield "$.withdraw.services", f"route/{prefix}", kept.service
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -338,4 +338,7 @@
         },
         blocked=blocked,
     )
-    return trim(dataclasses.replace(state, snapshot=snapshot))
+    state = dataclasses.replace(state, snapshot=snapshot)
+    if rollout.state is tables.RolloutState.RUNNING:
+        return state
+    return trim(state)
