Leave a silent connection to the log in time

Cause: a read waited 10 s for the next record and 2 s more, so a root whose connection had gone silent was behind for 12 s; a change may take 4 s.

Ruled out: fewer reads by the long wait; the lease is renewed each second, so reads are answered within about that time anyway.

Change: a read waits 1.5 s at most.

--- a/features/log_append.feature
+++ b/features/log_append.feature
@@ -46,6 +46,12 @@
     And the log is back
     Then the worker delivers all entries in order
 
+  Scenario: a connection to the log that went silent is left in time
+    Given a log worker that reads the log over a link
+    When the link's open connections go silent and a release is stored
+    Then the worker delivers the release over a new connection
+    And the settings leave at most 4 seconds for that
+
   Scenario: real processes lose no decision while answers are lost
     Given a mesh of 2 nodes of service kvoty in lipno
     And a node beside version v2 of kvoty in lipno
--- a/features/note.feature
+++ b/features/note.feature
@@ -72,6 +72,22 @@
     Then it exits with 0 and prints "0 release-accepted base"
     And it prints "0 move-done base/kvoty at v1 100%; first version of the service"
 
+  Scenario: the log's address from a settings file
+    Given the platform log
+    And the release file base.note.json that adds kvoty
+    And a settings file with the log's url
+    When arbutusstall-note runs "publish FILE --settings SETTINGS" as it stands
+    Then it exits with 0 and prints "base: accepted at offset 0"
+    And a settings file with the log's url and an unknown key
+    When arbutusstall-note runs "status --settings SETTINGS" as it stands
+    Then it exits with 1 and complains "$.urll: unknown key 'urll'"
+
+  Scenario: watch ends when it is interrupted
+    Given the platform log
+    And the release file base.note.json that adds kvoty
+    When a process watches the log and a release is published
+    Then the process prints "release-accepted base" and ends with 0 when interrupted
+
   Scenario Outline: a command line that cannot be used
     Given the platform log
     And the release file base.note.json that adds kvoty
--- a/features/steps/log_append_steps.py
+++ b/features/steps/log_append_steps.py
@@ -5,8 +5,10 @@
 import time
 
 import behave
+import fault_proxy
 import log_samples
 import memory_log
+import mesh
 
 from arbutusstall import protocols
 from arbutusstall import settings as node_settings
@@ -14,6 +16,7 @@
 from arbutusstall._log import publishing
 from arbutusstall._log import reader
 from arbutusstall._log import records
+from arbutusstall._shell import log_client
 from arbutusstall._shell import log_worker
 from arbutusstall._tables import agreed
 
@@ -306,3 +309,57 @@
         return bool(moves) and "running" not in moves[0]
 
     assert context.mesh.wait_until(ended, limit)
+
+
+@behave.given("a log worker that reads the log over a link")
+def read_over_link(context):
+    """Put a proxy before the log and wait until a read is under way."""
+    context.mesh = mesh.Mesh(context.directory)
+    context.mesh.start_log()
+    address = mesh.free_addresses(1)[0]
+    context.link = fault_proxy.FaultProxy(address, context.mesh.log)
+    context.add_cleanup(context.link.stop)
+    context.direct = log_client.HttpLogClient(
+        node_settings.LogSettings(url=f"http://{context.mesh.log}")
+    )
+    context.direct.append(records.encode(_release("before")))
+    settings = node_settings.LogSettings(url=f"http://{address}")
+    context.events = EventQueue()
+    context.worker = log_worker.LogWorker(
+        log_client.HttpLogClient(settings), settings, context.events
+    )
+    context.add_cleanup(context.worker.stop)
+    context.worker.follow(protocols.FollowLog(offset=0))
+    context.events.wait(protocols.LogRead)
+
+
+@behave.when("the link's open connections go silent and a release is stored")
+def silence(context):
+    """Nothing passes any more on the connections that are open."""
+    assert context.link.silence_open() > 0
+    context.events.events.clear()
+    context.offset = context.direct.append(records.encode(_release("after")))
+
+
+@behave.then("the worker delivers the release over a new connection")
+def delivered_again(context):
+    """Wait for the entry."""
+    end_s = time.monotonic() + _LIMIT_S
+    found = []
+    while not found and time.monotonic() < end_s:
+        found = [
+            entry
+            for event in list(context.events.events)
+            if isinstance(event, protocols.LogRead)
+            for entry in event.entries
+            if entry.offset == context.offset
+        ]
+        time.sleep(0.01)
+    assert found, context.events.events
+
+
+@behave.then("the settings leave at most {limit:d} seconds for that")
+def silent_bound(context, limit):
+    """Check the time after which a silent read is given up."""
+    settings = node_settings.LogSettings(url="http://127.0.0.1:9")
+    assert settings.poll_s + settings.request_timeout_s <= limit
--- a/features/steps/note_steps.py
+++ b/features/steps/note_steps.py
@@ -70,8 +70,11 @@
 
 
 def _arguments(context, text):
-    path = str(getattr(context, "path", "FILE"))
-    return [path if word == "FILE" else word for word in text.split()]
+    paths = {
+        "FILE": getattr(context, "path", "FILE"),
+        "SETTINGS": getattr(context, "settings_path", "SETTINGS"),
+    }
+    return [str(paths.get(word, word)) for word in text.split()]
 
 
 @behave.when('arbutusstall-note runs "{text}"')
@@ -179,3 +182,36 @@
     assert context.mesh.wait_until(lambda: len(_roots(context)) > 0, 20.0)
     for name in list(context.mesh.nodes_by_name):
         context.mesh.kill(name)
+
+
+@behave.step("a settings file with the log's url")
+def log_settings(context, **more):
+    """Write how to reach the log."""
+    context.settings_path = context.directory / "note.settings.json"
+    settings = {"url": f"http://{context.mesh.log}", **more}
+    context.settings_path.write_text(json.dumps(settings))
+
+
+@behave.step("a settings file with the log's url and an unknown key")
+def bad_log_settings(context):
+    """Write settings that cannot be used."""
+    log_settings(context, urll="x")
+
+
+@behave.when("a process watches the log and a release is published")
+def watch_process(context):
+    """Start the program as an operator would."""
+    url = f"http://{context.mesh.log}"
+    arguments = ("watch", "--from-start", "--log", url)
+    context.mesh.spawn("watch", "-m", "arbutusstall._cli.note", *arguments)
+    run(context, "publish FILE")
+
+
+@behave.then('the process prints "{text}" and ends with 0 when interrupted')
+def watch_ends(context, text):
+    """Interrupt it after the event."""
+    output = context.directory / "watch.log"
+    assert context.mesh.wait_until(lambda: text in output.read_text(), 20.0)
+    context.mesh.signal("watch", signal.SIGINT)
+    process = context.mesh.processes_by_name["watch"]
+    assert process.wait(timeout=20.0) == 0, output.read_text()
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -68,14 +68,15 @@
     """How to reach the platform log; times in seconds.
 
     Attributes:
-        poll_s: Longest wait of a read for the next record.
+        poll_s: Longest wait of a read for the next record. A silent
+            connection is found after this and the request timeout.
         append_bound_s: How long an append is repeated.
         pending_appends: Records that wait to be appended at most.
     """
 
     url: str
     request_timeout_s: float = 2.0
-    poll_s: float = 10.0
+    poll_s: float = 1.5
     retry_base_s: float = 0.05
     retry_cap_s: float = 2.0
     append_bound_s: float = 60.0
