Spare roots heartbeats and prove the processes

Cause: by its slope a root with 16 children and 14 root links needed 2.8 % of a core. Ruled out: slower heartbeats everywhere, which would find a silent parent later. Change: only a parent's heartbeats keep their rate, the other directions send every third. Scenarios with processes: a root that stops hands over, a frozen one is replaced, an outbox is bounded.

--- /dev/null
+++ b/features/tree_processes.feature
@@ -0,0 +1,16 @@
+Feature: Distribution tree of processes
+  What holds in the driver holds for streams and threads too.
+
+  Scenario: a root process that stops or freezes does not stop convergence
+    Given a tree of 7 processes with 2 root seats
+    When a root process with children is told to stop
+    Then it ends by itself within 10 seconds with its children elsewhere
+    And a release reaches all tree processes within 4 seconds
+    When a root process is frozen
+    Then its children have another parent within 15 seconds
+    And a release reaches all tree processes within 4 seconds
+
+  Scenario: a peer that does not read is cut and costs bounded memory
+    Given an outbox that nobody drains
+    When messages are queued without end
+    Then the outbox refuses them before it holds 9 megabytes
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -105,8 +105,10 @@
     Attributes:
         roots: Root seats of each data centre.
         fan_out: Children that a node admits.
-        heartbeat_s: Interval of the heartbeats on each link.
-        silent_s: A link without any message for so long is replaced.
+        heartbeat_s: Interval of the heartbeats from parent to child;
+            upwards and between roots it is three times as long.
+        silent_s: A parent without any message for so long is replaced;
+            for children and other roots it is three times as long.
         seat_renew_s: Interval at which a root renews its seat.
         seat_expire_s: A seat that was not renewed for so long, while
             the log answered, is claimed by others.
--- a/src/arbutusstall/_shell/relay.py
+++ b/src/arbutusstall/_shell/relay.py
@@ -43,7 +43,7 @@
 )
 
 
-class _Outbox:
+class Outbox:
     """Encoded messages that wait for a stream, bounded by their size."""
 
     def __init__(self) -> None:
@@ -87,7 +87,7 @@
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
-        self.outbox = _Outbox()
+        self.outbox = Outbox()
         self.cancel: abc.Callable[[], object] = lambda: None
         # Set when this side closed the stream: it needs no notice then.
         self.dropped = False
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -22,6 +22,8 @@
 
 # A node that did not run for so long cannot judge its links by silence.
 _PAUSE_S = 1.0
+# Between roots and upwards every third heartbeat is sent.
+_UP_BEATS = 3
 _DETACHED_S = 5.0
 
 
@@ -315,8 +317,10 @@
     limit_s = tables.settings.relay.silent_s
     heard = tables.relay.heard_s_by_peer
     effects: list[_effects.Effect] = []
-    for peer in list(tables.links_by_peer):
-        if now.mono_s - heard.setdefault(peer, now.mono_s) <= limit_s:
+    for peer, link in list(tables.links_by_peer.items()):
+        age_s = now.mono_s - heard.setdefault(peer, now.mono_s)
+        down = link.role is links.LinkRole.PARENT
+        if age_s <= (limit_s if down else limit_s * _UP_BEATS):
             continue
         effects.append(_effects.Disconnect(peer=peer))
         lost = _effects.LinkLost(peer=peer, reason="silent")
@@ -331,9 +335,15 @@
     if now.mono_s < state.next_heartbeat_s:
         return []
     state.next_heartbeat_s = now.mono_s + tables.settings.relay.heartbeat_s
+    # A child depends on its parent and hears from it at each beat; the
+    # other directions may be slower, which spares a root half its work.
+    state.beats += 1
+    slow = state.beats % _UP_BEATS == 0
     beat = _beat(tables)
     return [
-        _effects.Send(peer=peer, message=beat) for peer in tables.links_by_peer
+        _effects.Send(peer=link.peer, message=beat)
+        for link in tables.links_by_peer.values()
+        if slow or link.role is links.LinkRole.CHILD
     ]
 
 
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -67,6 +67,7 @@
     tokens_s: float = 0.0
     last_run_s: float = 0.0
     next_heartbeat_s: float = 0.0
+    beats: int = 0
     heard_s_by_peer: dict[str, float] = dataclasses.field(default_factory=dict)
     retry_s_by_address: dict[str, float] = dataclasses.field(
         default_factory=dict
