Keep serving children after giving a seat back

Cause: a root that stops releases its seat, read that in the log, took it for a lost one and cut its children before they had moved; the strengthened process scenario showed it (parent-lost in their logs). Ruled out: releasing the seat last, which leaves it vacant for longer. Change: a node that stops no longer looks at seats.

--- a/src/arbutusstall/_systems/seats.py
+++ b/src/arbutusstall/_systems/seats.py
@@ -53,10 +53,13 @@
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
     """Renew the own seat, step down from a lost one, or claim one."""
+    if tables.relay.leaving:
+        # The seat was given back; the children still stream from here.
+        return []
     own = _own_seat(tables)
     if own is None and tables.is_root:
         return _step_down(tables)
-    if own is not None and not tables.relay.leaving:
+    if own is not None:
         return _hold(tables, own, now)
     if not _may_claim(tables):
         return _stop_reading(tables)
