Tighten the herd and label scenarios

Cause: with a log that answers in 2 ms the herd scenario passed without claim delays and without compare-and-set, and no scenario failed without the label check (trials on patched copies). Ruled out: larger herds, which only make the run longer. Change: the herd meets a log of 200 ms, nobody may lose a taken seat, and labels have a scenario of their own.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -5,10 +5,14 @@
 import behave
 import fleet
 
+from arbutusstall import _clock
 from arbutusstall import protocols
 from arbutusstall._systems import progress
+from arbutusstall._tables import links
+from arbutusstall._wire import messages
 
 _SEED = 7
+_NOW = _clock.Instant(mono_s=10.0, wall_s=10.0)
 
 
 @behave.given("a fleet of {count:d} nodes in {centres} that has settled")
@@ -81,6 +85,58 @@
     context.fleet.run(1.0)
 
 
+@behave.when("the fleet's log answers after {delay_ms:d} milliseconds")
+def slow_log(context, delay_ms):
+    """Delay every answer of the log."""
+    context.fleet.log_delay_s = delay_ms / 1000
+
+
+@behave.then("nobody lost a seat that it had taken")
+def no_seat_lost(context):
+    """Check that no claim replaced a newer one."""
+    lost = [
+        name
+        for at_s, name, emit in context.fleet.emitted
+        if at_s > context.begin_s and emit.event == "root-seat-lost"
+    ]
+    assert not lost, lost
+
+
+@behave.given("a node with label {label:d} and a child")
+def labelled(context, label):
+    """Make a node that has a child and a way to a root."""
+    context.label = label
+    context.core = None
+
+
+@behave.then("it refuses a joiner with children and label {label:d}")
+def refuses(context, label):
+    """Send a hello and expect a refusal."""
+    assert isinstance(_answer(context, label), messages.Refusal)
+
+
+@behave.then("it admits a joiner with children and label {label:d}")
+def admits(context, label):
+    """Send a hello and expect a welcome."""
+    assert isinstance(_answer(context, label), messages.Welcome)
+
+
+@behave.then("it leaves a parent that turns out to have label {label:d}")
+def leaves(context, label):
+    """Send a welcome and expect the link to be closed."""
+    core, effects = _welcomed(context, label)
+    assert protocols.Disconnect(peer="parent") in effects, effects
+    assert "parent" not in core.tables.links_by_peer
+
+
+@behave.then("it accepts a parent that turns out to have label {label:d}")
+def accepts(context, label):
+    """Send a welcome and expect the link to be kept."""
+    core, _ = _welcomed(context, label)
+    assert "parent" in core.tables.links_by_peer
+    assert core.tables.relay.label == context.label
+
+
 @behave.when("a node starts that knows two seeds")
 def start_with_seeds(context):
     """Start a node with the relay addresses of two others."""
@@ -371,6 +427,43 @@
         assert not report.lacking, report
 
 
+def _labelled(context):
+    core = protocols.NodeCore(fleet.settings(1, "lipno"), random.Random(1), 1)
+    core.tables.relay.label = context.label
+    core.tables.relay.attached = True
+    core.tables.links_by_peer["child"] = links.Link(
+        peer="child", address="10.1.1.1:1", role=links.LinkRole.CHILD
+    )
+    return core
+
+
+def _answer(context, label):
+    hello = messages.Hello(
+        node="joiner",
+        data_centre="lipno",
+        address="10.1.1.2:1",
+        version=0,
+        digest="",
+        label=label,
+    )
+    event = protocols.Received(peer="joiner", message=hello)
+    effects = _labelled(context).handle(event, _NOW)
+    return next(
+        effect.message
+        for effect in effects
+        if isinstance(effect, protocols.Send)
+    )
+
+
+def _welcomed(context, label):
+    core = _labelled(context)
+    core.tables.relay.attached = False
+    core.tables.attaching_to = "10.1.1.3:1"
+    welcome = messages.Welcome(node="parent", label=label)
+    event = protocols.Received(peer="parent", message=welcome)
+    return core, core.handle(event, _NOW)
+
+
 def _cores(context):
     return list(context.fleet.cores_by_name.values())
 
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -22,9 +22,11 @@
 
   Scenario: a data centre that returns at once spares the log
     Given a fleet of 240 nodes in lipno, svet that has settled
-    When all nodes of lipno are gone for 30 seconds and come back as new
+    When the fleet's log answers after 200 milliseconds
+    And all nodes of lipno are gone for 30 seconds and come back as new
     Then all seats are held again within 20 seconds
     And the fleet's log took at most 40 appends a second
+    And nobody lost a seat that it had taken
     And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: an outage of the log costs no root its seat
@@ -52,6 +54,13 @@
       | 2    |
       | 3    |
 
+  Scenario: a link never leads up
+    Given a node with label 2 and a child
+    Then it refuses a joiner with children and label 2
+    And it admits a joiner with children and label 3
+    And it leaves a parent that turns out to have label 2
+    And it accepts a parent that turns out to have label 1
+
   Scenario: a parent that goes silent is replaced
     Given a fleet of 60 nodes in lipno that has settled
     When the link of a child to its parent goes silent
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -47,6 +47,7 @@
         self.append_times: list[float] = []
         self.reads = 0
         self.log_out = False
+        self.log_delay_s = delay_s
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.one_way: set[tuple[str, str]] = set()
@@ -122,7 +123,7 @@
         offset = len(self.entries) - 1
         for name in sorted(self._followers):
             self.after(
-                self.delay_s, lambda name=name: self._read(name, offset)
+                self.log_delay_s, lambda name=name: self._read(name, offset)
             )
         return offset
 
@@ -149,7 +150,7 @@
             match effect:
                 case protocols.Append():
                     self.after(
-                        self.delay_s,
+                        self.log_delay_s,
                         lambda record=effect.record: self._append(
                             name, record
                         ),
@@ -157,7 +158,7 @@
                 case protocols.FollowLog():
                     self._followers.add(name)
                     self.after(
-                        self.delay_s,
+                        self.log_delay_s,
                         lambda offset=effect.offset: self._read(name, offset),
                     )
                 case protocols.StopLog():
