--- a/tests/driver.py
+++ b/tests/driver.py
@@ -49,6 +49,7 @@
         self.reads = 0
         self.log_out = False
         self._unanswered_by_key: dict[tuple[str, str], records.Record] = {}
+        self.log_delay_s = delay_s
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.one_way: set[tuple[str, str]] = set()
@@ -124,7 +125,7 @@
         offset = len(self.entries) - 1
         for name in sorted(self._followers):
             self.after(
-                self.delay_s, lambda name=name: self._read(name, offset)
+                self.log_delay_s, lambda name=name: self._read(name, offset)
             )
         return offset
 
@@ -151,7 +152,7 @@
             match effect:
                 case protocols.Append():
                     self.after(
-                        self.delay_s,
+                        self.log_delay_s,
                         lambda record=effect.record: self._append(
                             name, record
                         ),
@@ -159,7 +160,7 @@
                 case protocols.FollowLog():
                     self._followers.add(name)
                     self.after(
-                        self.delay_s,
+                        self.log_delay_s,
                         lambda offset=effect.offset: self._read(name, offset),
                     )
                 case protocols.StopLog():
