--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -21,6 +21,7 @@
 from arbutusstall._systems import rows
 from arbutusstall._systems import seats
 from arbutusstall._systems import tree
+from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
@@ -78,12 +79,18 @@
             node=settings.node,
             data_centre=settings.data_centre,
             incarnation=incarnation,
-            inbound=settings.addresses.inbound,
-            relay=settings.addresses.relay,
+            inbound=settings.advertise.inbound or settings.addresses.inbound,
+            relay=settings.advertise.relay or settings.addresses.relay,
         )
         self.tables = node.Tables(settings=settings, rng=rng, member=member)
         rows.put(self.tables, member, _clock.Instant(mono_s=0.0, wall_s=0.0))
 
+    @property
+    def has_children(self) -> bool:
+        """Whether other nodes stream from this one; for any thread."""
+        links_now = list(self.tables.links_by_peer.values())
+        return any(link.role is links.LinkRole.CHILD for link in links_now)
+
     def start(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Return the effects that begin the node's work."""
         return [
