Say when a move is late

Cause: a move that was held past its time said so only in its verdict. Change: what holds it is followed by the word late, and a move that goes on after its time says late until the goal. Seen: the scenario with 4 s for the goal ends as done with both texts.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -70,7 +70,12 @@
     When a version with slots for half of the calls is released
     Then the move is held by capacity below 60 percent
 
-  Scenario: the sums of a mesh look do not condemn by themselves
+  Scenario: a move that is held past its time goes on and says it is late
+    When a version with good is released over 4 seconds
+    Then every move is done
+    And its state and its verdict say that it is late
+
+  Scenario: a burst in one interval does not condemn by itself
     Then a burst of bad calls in one look condemns nothing
 
   Scenario: share plans keep their rules
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -98,6 +98,23 @@
     ]
 
 
+@behave.when("a version with {kind} is released over {seconds:d} seconds")
+def release_quickly(context, kind, seconds):
+    """Run the model with less time than the evidence needs."""
+    context.results = [
+        _run(kind, seed=seed, planned_s=float(seconds))
+        for seed in range(_SEEDS)
+    ]
+
+
+@behave.then("its state and its verdict say that it is late")
+def says_late(context):
+    """Check what operators read."""
+    for result in context.results:
+        assert any("late" in text for text in result.held_by), result.held_by
+        assert "s late" in result.reason, result.reason
+
+
 @behave.then("every move is taken back with its counts")
 def all_back(context):
     """Check the verdicts."""
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -29,6 +29,7 @@
 _LOW_PATIENCE = 5.0
 _LOW_PATIENCE_PART = 0.1
 _LATE_S = 1.0
+_LATE = "late"
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
@@ -108,7 +109,8 @@
         ]
     probe = tables.settings.rollout.probe_percent / 100.0
     if watch.suspected is not None and rollout.progress > probe:
-        return [_shares(tables, rollout, probe, HELD_BY_EVIDENCE)]
+        held_by = _or_late(rollout, HELD_BY_EVIDENCE, now)
+        return [_shares(tables, rollout, probe, held_by)]
     stage = _next_stage(tables, rollout, watch)
     if stage is None:
         return _finish(tables, rollout, watch, now)
@@ -120,6 +122,7 @@
         return _note_hold(tables, rollout, watch, held_by, now)
     watch.held_by = ""
     still = HELD_BY_CAPACITY if progress < stage.progress else ""
+    still = _or_late(rollout, still, now) if progress < 1.0 else ""
     return [_shares(tables, rollout, progress, still)]
 
 
@@ -280,6 +283,7 @@
         watch.held_by = held_by
         watch.held_since_s = now.mono_s
     lasted_s = now.mono_s - watch.held_since_s
+    held_by = _or_late(rollout, held_by, now) if held_by else ""
     if held_by == rollout.held_by or not held_by:
         return []
     if lasted_s < tables.settings.rollout.hold_s:
@@ -287,6 +291,16 @@
     return [_shares(tables, rollout, rollout.progress, held_by)]
 
 
+def _or_late(
+    rollout: agreed.Rollout, held_by: str, now: _clock.Instant
+) -> str:
+    """Return what holds a rollout, with a word if its time has passed."""
+    planned = rollout.by_s > rollout.started_s
+    if not planned or now.wall_s <= rollout.by_s + _LATE_S:
+        return held_by
+    return f"{held_by}, {_LATE}" if held_by else _LATE
+
+
 def _log_is_out(tables: node.Tables, now: _clock.Instant) -> bool:
     age_s = now.mono_s - tables.lease_seen_s
     return age_s >= 2 * tables.settings.lease.expire_s
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -73,9 +73,10 @@
         step: Number of share decisions so far.
         progress: Part of the way from start to goal, 0 to 1.
         held_by: What keeps a running rollout behind its plan:
-            ``evidence``, ``capacity``, ``endpoints`` or empty. While the
-            log is out nothing can be agreed; nodes then say ``log`` in
-            their events.
+            ``evidence``, ``capacity``, ``endpoints`` or empty, followed
+            by ``late`` once its time has passed. While the log is out
+            nothing can be agreed; nodes then say ``log`` in their
+            events.
         condemned: Versions that the verdict blocked.
         offset: Log offset of the release record.
     """
