Sum the evidence for each degree of badness

Change: a sum for each degree, averaged when read; a suspicion needs that the old version's few calls do not speak against it.

--- a/src/arbutusstall/_systems/comparison.py
+++ b/src/arbutusstall/_systems/comparison.py
@@ -10,10 +10,12 @@
 * absolute: how many of the new version's calls are bad, given the rate
   that is tolerated.
 
-The logarithms are summed from the last time the sum was not positive (a
-CUSUM), so that a version that turns bad late is judged by what it does
-now. With a threshold of ``ln(looks * comparisons / alpha)`` the chance
-to condemn a sound version within that many looks is at most ``alpha``.
+Each is formed for three degrees of badness. The logarithms are summed
+from the last time the sum was not positive (a CUSUM), so that a version
+that turns bad late is judged by what it does now; the mean over the
+degrees counts. With a threshold of ``ln(looks * comparisons / alpha)``
+the chance to condemn a sound version within that many looks is at most
+``alpha``.
 """
 
 from collections import abc
@@ -24,6 +26,7 @@
 
 _WORSE = (2.0, 6.0, 30.0)
 _TOWARDS_ALL = (0.08, 0.3, 0.8)
+_NOTHING = (0.0, 0.0, 0.0)
 _MOST_LOOKS = 40
 _NEWEST_LOOKS = 6
 _SCARCE = 3
@@ -77,10 +80,10 @@
     """
     floor = min(max(tolerance.floor, usual * tolerance.ratio), 0.9)
     return evidence.Detector(
-        relative=_add(
-            detector.relative, _relative(look, tolerance.ratio), tolerance
+        relatives=_add(
+            detector.relatives, _relative(look, tolerance.ratio), tolerance
         ),
-        absolute=_add(detector.absolute, _absolute(look, floor), tolerance),
+        absolutes=_add(detector.absolutes, _absolute(look, floor), tolerance),
         looks=_keep(detector.looks, look),
     )
 
@@ -93,11 +96,14 @@
 def is_suspect(detector: evidence.Detector, tolerance: Tolerance) -> bool:
     """Tell whether the version is bad, with nothing to compare it to.
 
-    It is worse than the old version was, but the old one gets too few
-    calls now to exclude a fault that both share.
+    It is worse than the old version was, and the old one gets too few
+    calls now to exclude a fault that both share. The few it gets must
+    not point at such a fault.
     """
-    return detector.absolute >= tolerance.threshold and is_scarce(
-        detector.looks
+    return (
+        detector.absolute >= tolerance.threshold
+        and detector.relative >= 0.0
+        and is_scarce(detector.looks)
     )
 
 
@@ -127,23 +133,29 @@
     )
 
 
-def _add(total: float, log_value: float, tolerance: Tolerance) -> float:
-    return max(0.0, total) + min(log_value, tolerance.most_per_look)
+def _add(
+    totals: tuple[float, ...],
+    logs: tuple[float, ...],
+    tolerance: Tolerance,
+) -> tuple[float, ...]:
+    most = tolerance.most_per_look
+    return tuple(
+        max(0.0, total) + min(log, most)
+        for total, log in zip(totals, logs, strict=True)
+    )
 
 
-def _relative(look: evidence.Look, ratio: float) -> float:
+def _relative(look: evidence.Look, ratio: float) -> tuple[float, ...]:
     if not look.new_calls or not look.old_calls:
-        return 0.0
+        return _NOTHING
     if not look.new_bad and not look.old_bad:
-        return 0.0
+        return _NOTHING
     expected = _part(look, ratio)
-    return _log_mean(
-        [
-            look.new_bad * math.log(_part(look, ratio * worse) / expected)
-            + look.old_bad
-            * math.log((1 - _part(look, ratio * worse)) / (1 - expected))
-            for worse in _WORSE
-        ]
+    return tuple(
+        look.new_bad * math.log(_part(look, ratio * worse) / expected)
+        + look.old_bad
+        * math.log((1 - _part(look, ratio * worse)) / (1 - expected))
+        for worse in _WORSE
     )
 
 
@@ -152,22 +164,14 @@
     return weighted / (weighted + look.old_calls)
 
 
-def _absolute(look: evidence.Look, floor: float) -> float:
+def _absolute(look: evidence.Look, floor: float) -> tuple[float, ...]:
     good = look.new_calls - look.new_bad
-    logs = []
-    for way in _TOWARDS_ALL:
-        rate = floor + (1.0 - floor) * way
-        logs.append(
-            look.new_bad * math.log(rate / floor)
-            + good * math.log((1.0 - rate) / (1.0 - floor))
-        )
-    return _log_mean(logs)
-
-
-def _log_mean(logs: list[float]) -> float:
-    highest = max(logs)
-    total = sum(math.exp(value - highest) for value in logs)
-    return highest + math.log(total / len(logs))
+    rates = (floor + (1.0 - floor) * way for way in _TOWARDS_ALL)
+    return tuple(
+        look.new_bad * math.log(rate / floor)
+        + good * math.log((1.0 - rate) / (1.0 - floor))
+        for rate in rates
+    )
 
 
 def _keep(
--- a/src/arbutusstall/_tables/evidence.py
+++ b/src/arbutusstall/_tables/evidence.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import enum
+import math
 
 from arbutusstall._tables import agreed
 from arbutusstall._tables import outcomes
@@ -48,16 +49,27 @@
     """Sequential comparison of a version with those it replaces.
 
     Attributes:
-        relative: Log evidence that the version is worse than the old
-            ones at the same time.
-        absolute: Log evidence that it is worse than the tolerated rate.
+        relatives: Log evidence that the version is worse than the old
+            ones at the same time, one for each degree of badness.
+        absolutes: Log evidence that it is worse than the tolerated
+            rate, likewise.
         looks: The newest looks, oldest first.
     """
 
-    relative: float = 0.0
-    absolute: float = 0.0
+    relatives: tuple[float, ...] = (0.0, 0.0, 0.0)
+    absolutes: tuple[float, ...] = (0.0, 0.0, 0.0)
     looks: tuple[Look, ...] = ()
 
+    @property
+    def relative(self) -> float:
+        """Log of the mean evidence over the degrees of badness."""
+        return _log_mean(self.relatives)
+
+    @property
+    def absolute(self) -> float:
+        """Log of the mean evidence over the degrees of badness."""
+        return _log_mean(self.absolutes)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LocalRollback:
@@ -129,6 +141,12 @@
     )
 
 
+def _log_mean(logs: tuple[float, ...]) -> float:
+    highest = max(logs)
+    total = sum(math.exp(value - highest) for value in logs)
+    return highest + math.log(total / len(logs))
+
+
 Cell = tuple[str, str]
 """Version and route."""
 
