--- a/features/steps/moves_rules_steps.py
+++ b/features/steps/moves_rules_steps.py
@@ -135,16 +135,16 @@
     def check(seed):
         rng = random.Random(seed)
         log = _moving_log()
-        lease = log.state.lease.offset
+        leases = [log.state.lease.offset]
         for _ in range(30):
             before = _move(log)
-            record = _random_decision(rng, log, lease)
+            record = _random_decision(rng, log, rng.choice(leases))
             log.put(record)
             if rng.random() < 0.3:
                 log.put(record)
             _check_step(before, _move(log), record, log)
             if rng.random() < 0.05:
-                lease = log.claim(f"n{rng.random()}")
+                leases.append(log.claim(f"n{rng.random()}"))
 
 
 @behave.then("{count:d} random deliveries of reports give the same counts")
@@ -326,7 +326,8 @@
     percent = rng.choice([rng.uniform(-10, 120), float("nan"), 50.0])
     step = _move(log).step + rng.choice([0, 1, 1, 1, 2])
     if rng.random() < 0.05:
-        return _verdict(log, done=rng.random() < 0.5)
+        verdict = _verdict(log, done=rng.random() < 0.5)
+        return dataclasses.replace(verdict, lease=lease)
     return _decision(lease, step, {"v1": 100.0 - percent, "v2": percent})
 
 
@@ -334,9 +335,11 @@
     if before.state is not agreed.RolloutState.RUNNING:
         assert after == before
         return
-    if isinstance(record, records.Verdict) or after == before:
+    if after == before:
         return
     assert record.lease == log.state.lease.offset
+    if isinstance(record, records.Verdict):
+        return
     assert after.step == before.step + 1 == record.step
     percents = log.state.snapshot.shares_by_service["kvoty"]
     assert abs(sum(percents.percent_by_version.values()) - 100.0) < 1e-6
