--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -36,11 +36,13 @@
         fail: Share of the answers that are errors, 0 to 1.
         delay_s: Time an answer takes.
         fail_prefix: Only paths that start so fail.
+        slow_prefix: Only answers to such paths take that time.
     """
 
     fail: float = 0.0
     delay_s: float = 0.0
     fail_prefix: str = ""
+    slow_prefix: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -100,7 +102,8 @@
             failed = self._fails(behaviour, request.path)
         if "/crash" in request.path:
             os._exit(1)
-        time.sleep(behaviour.delay_s)
+        if request.path.startswith(behaviour.slow_prefix):
+            time.sleep(behaviour.delay_s)
         name = f"{self._identity.service}/{self._identity.version}"
         text = f"{name} {request.method} {request.path} {body} {request_id}\n"
         status = 500 if failed else 200
