Act on a suspicion that the log does not answer

Change: a suspicion that lasts 2 s at a leader without an answer, or with no leader, rolls back; it is kept while other routes are looked at.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -52,6 +52,12 @@
     And the decision came before the log was back
     And every move is taken back with its counts
 
+  Scenario: a version that turns bad at the goal while the log is out
+    When a version with fails at the goal is released and the log is out from 24 to 50 s
+    Then the version gets no traffic anywhere within 2 s of the decision
+    And the decision came within 6 s of the outage
+    And every move is taken back with its counts
+
   Scenario: another leader goes on when the leader is paused
     When a version with good is released and the leader is paused from 8 to 18 s
     Then no share jumped
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -182,6 +182,13 @@
         assert 0 < result.decided_s < context.outage[1], result
 
 
+@behave.then("the decision came within {limit:d} s of the outage")
+def decided_soon(context, limit):
+    """Check that a suspicion does not wait for the lease to expire."""
+    for result in context.results:
+        assert result.decided_s <= context.outage[0] + limit, result.decided_s
+
+
 @behave.then("no share jumped")
 def no_jump(context):
     """Check that each share is at most the largest factor above the last."""
--- a/src/arbutusstall/_systems/evidence.py
+++ b/src/arbutusstall/_systems/evidence.py
@@ -125,6 +125,7 @@
     watch.entered_wall_s = now.wall_s
     watch.stage_calls_by_cell.clear()
     watch.suspected = None
+    watch.suspected_s = 0.0
 
 
 def _look(
@@ -134,13 +135,17 @@
     now: _clock.Instant,
 ) -> list[evidence.LocalRollback]:
     _measure(tables, watch, now)
-    watch.suspected = None
     found = []
     for route in sorted({route for _, route in watch.gathered_by_cell}):
         if _is_due(watch, route, now):
             found += _look_at_route(tables, rollout, watch, route)
             _close(watch, route)
             watch.looked_s_by_route[route] = now.mono_s
+    watch.suspected = _suspect(tables, rollout, watch)
+    if watch.suspected is None:
+        watch.suspected_s = 0.0
+    elif not watch.suspected_s:
+        watch.suspected_s = now.mono_s
     return found
 
 
@@ -223,11 +228,17 @@
     known = watch.detectors_by_key.get(key, evidence.Detector())
     detector = comparison.update(known, look, limit, usual)
     watch.detectors_by_key[key] = detector
-    if comparison.is_bad(detector, limit):
-        return True
-    if comparison.is_suspect(detector, limit):
-        watch.suspected = key
-    return False
+    return comparison.is_bad(detector, limit)
+
+
+def _suspect(
+    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+) -> evidence.DetectorKey | None:
+    for key, detector in watch.detectors_by_key.items():
+        limit = tolerance(tables, rollout, key.metric)
+        if comparison.is_suspect(detector, limit):
+            return key
+    return None
 
 
 def _rollback(
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -25,6 +25,7 @@
 HELD_BY_LOG = "log"
 
 _ANSWER_S = 1.0
+_UNANSWERED_S = 2.0
 _SOUND_PART = 0.12
 _LOW_PATIENCE = 5.0
 _LOW_PATIENCE_PART = 0.1
@@ -46,10 +47,12 @@
         watch = tables.watches_by_rollout.get(rollout.rollout_id)
         if watch is None:
             continue
+        if leads or _is_unled(tables, now):
+            effects += _act_unanswered(tables, rollout, watch, now)
         if leads:
             effects += _lead(tables, rollout, watch, now)
         elif _log_is_out(tables, now):
-            effects += _stand_still(tables, rollout, watch, now)
+            effects += _stand_still(rollout, watch, now)
     return effects
 
 
@@ -72,6 +75,19 @@
     return effects
 
 
+def _act_unanswered(
+    tables: node.Tables,
+    rollout: agreed.Rollout,
+    watch: evidence.Watch,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Roll back a version whose share the log did not lower to compare."""
+    row = evidence_system.suspicion(rollout, watch)
+    if row is None or now.mono_s - watch.suspected_s < _UNANSWERED_S:
+        return []
+    return local_rollback.begin(tables, row, now)
+
+
 def _lead(
     tables: node.Tables,
     rollout: agreed.Rollout,
@@ -301,39 +317,32 @@
     return f"{held_by}, {_LATE}" if held_by else _LATE
 
 
+def _is_unled(tables: node.Tables, now: _clock.Instant) -> bool:
+    age_s = now.mono_s - tables.lease_seen_s
+    return age_s >= tables.settings.lease.expire_s
+
+
 def _log_is_out(tables: node.Tables, now: _clock.Instant) -> bool:
     age_s = now.mono_s - tables.lease_seen_s
     return age_s >= 2 * tables.settings.lease.expire_s
 
 
 def _stand_still(
-    tables: node.Tables,
     rollout: agreed.Rollout,
     watch: evidence.Watch,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Do what needs no agreement while the log is out.
-
-    The share cannot be lowered to compare, so a suspicion alone rolls
-    the version back.
-    """
-    effects: list[_effects.Effect] = []
-    row = evidence_system.suspicion(rollout, watch)
-    if row is not None:
-        effects += local_rollback.begin(tables, row, now)
-    if watch.held_by != HELD_BY_LOG:
-        watch.held_by = HELD_BY_LOG
-        watch.held_since_s = now.mono_s
-        effects.append(
-            _effects.Emit(
-                event="rollout-held",
-                fields={
-                    "rollout": rollout.rollout_id,
-                    "held_by": HELD_BY_LOG,
-                },
-            )
+    """Say once that the log holds the rollout."""
+    if watch.held_by == HELD_BY_LOG:
+        return []
+    watch.held_by = HELD_BY_LOG
+    watch.held_since_s = now.mono_s
+    return [
+        _effects.Emit(
+            event="rollout-held",
+            fields={"rollout": rollout.rollout_id, "held_by": HELD_BY_LOG},
         )
-    return effects
+    ]
 
 
 def _rolled_back(
--- a/src/arbutusstall/_tables/evidence.py
+++ b/src/arbutusstall/_tables/evidence.py
@@ -168,6 +168,7 @@
         entered_wall_s: The same in seconds since the epoch.
         suspected: Comparison in which the version is worse than the old
             one has been, with too few calls to compare at this time.
+        suspected_s: Monotonic time since when; zero if it is not.
         held_by: What holds the rollout as this node sees it.
         held_since_s: Monotonic time since when.
         probes: How often the share was lowered to compare.
@@ -203,6 +204,7 @@
         default_factory=dict
     )
     suspected: DetectorKey | None = None
+    suspected_s: float = 0.0
     held_by: str = ""
     held_since_s: float = 0.0
     probes: int = 0
