Let no late close cancel a finished call

A closed connection also stayed open by the duplicate of its socket.

Change: the callback is dropped with the answer; the duplicate is closed. The target stand-in can be limited in capacity and crash on a body.

Ruled out: lost readiness events (a trace showed each arriving).

--- a/src/arbutusstall/_shell/exchange.py
+++ b/src/arbutusstall/_shell/exchange.py
@@ -80,6 +80,9 @@
             self.handle_one_request()
         except OSError:
             return False
+        finally:
+            # A peer that closes after its answer cancels nothing.
+            self.cancellation.replace(None)
         return not self.close_connection
 
     def has_buffered(self) -> bool:
--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -93,6 +93,9 @@
     def close(self) -> None:
         """Close the connection."""
         self._curl.close()
+        # libcurl works on a duplicate, so this one keeps it open too.
+        if self._socket is not None:
+            self._socket.close()
 
     @property
     def reusable(self) -> bool:
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import dataclasses
+import os
 import sys
 import threading
 import time
@@ -20,6 +21,8 @@
 from arbutusstall._shell import http
 
 _ANNOUNCE_S = 1.0
+_NO_LIMIT = 10_000
+_CRASH_DELAY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,11 +33,16 @@
         fail: Share of the answers that are errors, 0 to 1.
         delay_s: Time an answer takes.
         fail_prefix: Only paths that start so fail.
+        capacity: Requests worked on at once; more wait, as for a core.
+            Zero for no limit.
+        crash_body: A request with this body ends the process.
     """
 
     fail: float = 0.0
     delay_s: float = 0.0
     fail_prefix: str = ""
+    capacity: int = 0
+    crash_body: str = ""
 
 
 class App:
@@ -46,6 +54,7 @@
         self._executions: list[str] = []
         self._lock = threading.Lock()
         self._debt = 0.0
+        self._room = threading.Semaphore(_NO_LIMIT)
 
     def __call__(self, environ, start_response):
         """Answer one request (WSGI)."""
@@ -57,6 +66,9 @@
             self._behaviour = msgspec.json.decode(
                 request.get_data(), type=Behaviour
             )
+            self._room = threading.Semaphore(
+                self._behaviour.capacity or _NO_LIMIT
+            )
             return wrappers.Response("ok\n")
         if request.path == "/executions":
             return wrappers.Response(msgspec.json.encode(self._executions))
@@ -66,7 +78,12 @@
         with self._lock:
             self._executions.append(request_id)
             failed = self._fails(behaviour, request.path)
-        time.sleep(behaviour.delay_s)
+        if behaviour.crash_body and body == behaviour.crash_body:
+            # Those beside it have begun by then.
+            time.sleep(_CRASH_DELAY_S)
+            os._exit(1)
+        with self._room:
+            time.sleep(behaviour.delay_s)
         text = f"{self._name} {request.method} {request.path} {body}\n"
         return wrappers.Response(text, 500 if failed else 200)
 
