Hold back the answer after a crash of the target

Cause: with real processes a poison request took three targets: the caller sent it again before the marks had reached the next node.

Change: the unknown outcome after a crash is answered 0.5 s later; scenarios with real processes for poison requests and for SIGTERM with a call in flight.

Ruled out: marks in the caller's proxy alone, since the request comes again through other nodes.

--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,125 @@
+"""Steps for calls between real processes."""
+
+import signal
+import threading
+
+import behave
+
+from arbutusstall._shell import http
+
+_LIMIT_S = 30.0
+_SLOW_S = 1.5
+
+
+def _post(context, name, request_id, body=b"ticket"):
+    callers = context.mesh.nodes_by_name[name].callers
+    return http.Connection().send(
+        http.Request(
+            method="POST",
+            url=f"http://{callers}/vazeni",
+            headers=(("Arbutusstall-Request-Id", request_id),),
+            body=body,
+            timeout_s=20.0,
+        )
+    )
+
+
+def _headers(response):
+    return {name.lower(): value for name, value in response.headers}
+
+
+@behave.when("all nodes route /vazeni")
+def all_route(context):
+    """Wait until a POST through each node is answered."""
+    for name in context.mesh.nodes_by_name:
+        assert context.mesh.wait_until(
+            lambda name=name: _post(context, name, "warm").status == 200,
+            _LIMIT_S,
+        )
+
+
+@behave.when(
+    "a request that crashes targets is sent {count:d} times"
+    " through different nodes"
+)
+def poison(context, count):
+    """Send it again and again, whatever the answer."""
+    names = list(context.mesh.nodes_by_name)
+    for name in names:
+        context.mesh.set_behaviour(name, crash_body="poison")
+    context.responses = [
+        _post(context, names[n % len(names)], f"poison-{n}", b"poison")
+        for n in range(count)
+    ]
+
+
+def _ended(context):
+    return [
+        name
+        for name in context.mesh.nodes_by_name
+        if context.mesh.processes_by_name[f"{name}-target"].poll() is not None
+    ]
+
+
+@behave.then("at most {count:d} targets ended")
+def targets_ended(context, count):
+    """Look at the processes."""
+    assert 0 < len(_ended(context)) <= count, _ended(context)
+
+
+@behave.then("the request is refused as not run")
+def refused(context):
+    """The last try must not reach a target."""
+    last = _headers(context.responses[-1])
+    assert last["arbutusstall-outcome"] == "not-run", last
+    assert last["arbutusstall-reason"] == "crashed targets before", last
+
+
+@behave.then("POSTs beside it are answered after the targets are back")
+def others_answered(context):
+    """Start the ended targets and call through every node."""
+    for name in _ended(context):
+        context.mesh.start_target(name)
+    all_route(context)
+
+
+@behave.when("a slow POST runs at a node that gets SIGTERM")
+def slow_post(context):
+    """Stop the node that holds the call, and enter at it as well."""
+    mesh = context.mesh
+    names = list(mesh.nodes_by_name)
+    for name in names:
+        mesh.set_behaviour(name, delay_s=_SLOW_S)
+    context.result = []
+    sender = threading.Thread(
+        target=lambda: context.result.append(_post(context, names[0], "slow"))
+    )
+    sender.start()
+    assert mesh.wait_until(lambda: _runner(context) != "", _LIMIT_S)
+    context.stopped = _runner(context)
+    context.other = next(name for name in names if name != context.stopped)
+    mesh.signal(context.stopped, signal.SIGTERM)
+    sender.join(_LIMIT_S)
+
+
+def _runner(context):
+    for name in context.mesh.nodes_by_name:
+        if "slow" in context.mesh.executions(name):
+            return name
+    return ""
+
+
+@behave.then("the POST gets its answer and the node exits with 0")
+def answered(context):
+    """The answer is whole although its node stops."""
+    assert [one.status for one in context.result] == [200], context.result
+    process = context.mesh.processes_by_name[context.stopped]
+    assert process.wait(_LIMIT_S) == 0
+
+
+@behave.then("a POST through the other node is answered by the other target")
+def other_answers(context):
+    """Nothing new went to the stopped node's target."""
+    assert _post(context, context.other, "next").status == 200
+    assert "next" in context.mesh.executions(context.other)
+    assert "next" not in context.mesh.executions(context.stopped)
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -27,6 +27,7 @@
 _CANCELLED = "cancelled by the caller"
 _STOP_MARGIN_MS = 1_000
 _SPARE_WORKERS = 32
+_MARKS_SPREAD_S = 0.5
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -328,6 +329,9 @@
             return dataclasses.replace(answer, unknown=_CANCELLED)
         if answer.unknown and targets.is_gone(target):
             self._target_crashed(running)
+            # The caller may send it again as soon as it has the answer;
+            # by then the marks must be known to the other nodes.
+            time.sleep(_MARKS_SPREAD_S)
             return dataclasses.replace(answer, unknown=targets.CRASHED)
         return answer
 
