--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -6,6 +6,7 @@
 
 from arbutusstall import _settings
 from arbutusstall._log import follower as log_follower
+from arbutusstall._log import records
 from arbutusstall._tables import agreed as agreed_tables
 from arbutusstall._tables import evidence
 from arbutusstall._tables import links
@@ -34,11 +35,12 @@
             process sent it.
         log_failing: Whether the last read got no answer.
         log_behind: Whether the log ends before what was folded.
-        checkpoint_state: State of the last checkpoint begun here.
+        checkpoint_chunks: Of the last checkpoint begun here.
         blocked: Versions rolled back locally, ``"service/version"``.
         outcome_news: Rows to report next and the peer they came from,
             empty for the own inbound proxy.
         reported_to: Peers that have all rows but those.
+        moving: Index of what moves, see `_systems.moving`.
         watches_by_rollout: Evidence on running rollouts, at roots.
         rollbacks_by_version: Local rollbacks by rollout id and version.
         rollbacks_told: Peers that know of all local rollbacks.
@@ -77,7 +79,7 @@
     )
     log_failing: bool = False
     log_behind: bool = False
-    checkpoint_state: agreed_tables.Agreed | None = None
+    checkpoint_chunks: tuple[records.CheckpointChunk, ...] = ()
     next_checkpoint_s: float = 0.0
     lease_seen_offset: int = agreed_tables.NO_LEASE
     next_renewal_s: float = 0.0
@@ -89,6 +91,9 @@
     )
     reported_to: set[str] = dataclasses.field(default_factory=set)
     next_outcome_report_s: float = 0.0
+    moving: evidence.Moving = dataclasses.field(
+        default_factory=evidence.Moving
+    )
     watches_by_rollout: dict[str, evidence.Watch] = dataclasses.field(
         default_factory=dict
     )
