--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -26,6 +26,8 @@
 from standins import journal
 
 _ANNOUNCE_S = 1.0
+_NO_LIMIT = 10_000
+_CRASH_DELAY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -36,12 +38,17 @@
         fail: Share of the answers that are errors, 0 to 1.
         delay_s: Time an answer takes.
         fail_prefix: Only paths that start so fail.
+        capacity: Requests worked on at once; more wait, as for a core.
+            Zero for no limit.
+        crash_body: A request with this body ends the process.
         slow_prefix: Only answers to such paths take that time.
     """
 
     fail: float = 0.0
     delay_s: float = 0.0
     fail_prefix: str = ""
+    capacity: int = 0
+    crash_body: str = ""
     slow_prefix: str = ""
 
 
@@ -66,6 +73,7 @@
         self._executions: list[str] = []
         self._lock = threading.Lock()
         self._debt = 0.0
+        self._room = threading.Semaphore(_NO_LIMIT)
 
     def __call__(self, environ, start_response):
         """Answer one request (WSGI)."""
@@ -77,6 +85,9 @@
             self._behaviour = msgspec.json.decode(
                 request.get_data(), type=Behaviour
             )
+            self._room = threading.Semaphore(
+                self._behaviour.capacity or _NO_LIMIT
+            )
             return wrappers.Response("ok\n")
         if request.path == "/executions":
             return wrappers.Response(msgspec.json.encode(self._executions))
@@ -102,8 +113,13 @@
             failed = self._fails(behaviour, request.path)
         if "/crash" in request.path:
             os._exit(1)
-        if request.path.startswith(behaviour.slow_prefix):
-            time.sleep(behaviour.delay_s)
+        if behaviour.crash_body and body == behaviour.crash_body:
+            # Those beside it have begun by then.
+            time.sleep(_CRASH_DELAY_S)
+            os._exit(1)
+        with self._room:
+            if request.path.startswith(behaviour.slow_prefix):
+                time.sleep(behaviour.delay_s)
         name = f"{self._identity.service}/{self._identity.version}"
         text = f"{name} {request.method} {request.path} {body} {request_id}\n"
         status = 500 if failed else 200
