Hand out test ports that no other run takes

Cause: a check run failed with "not joined within 30 s", and 1 of 7 starts of six nodes with a node that said "Address already in use": the ports are chosen before the processes bind them, at random, and other test runs on the machine choose from the same range meanwhile. Ruled out: outgoing connections (the system draws them from 32768 up) and a fault of membership (the process had ended at its start). Conclusion: runs beside each other no longer take each other's ports.

--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -5,21 +5,18 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 import fault_proxy
 import msgspec
+import ports
 
 from arbutusstall import errors
 from arbutusstall._shell import http
 
-# Outside of the range that the system draws outgoing ports from.
-_PORTS = range(10_000, 32_000)
 _NODE = "arbutusstall._cli.node"
 _START_S = 20.0
 _POLL_S = 0.05
@@ -50,19 +47,7 @@
 
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses that nothing listens on now."""
-    sockets: list[socket.socket] = []
-    while len(sockets) < count:
-        item = socket.socket()
-        try:
-            item.bind(("127.0.0.1", random.choice(_PORTS)))
-        except OSError:
-            item.close()
-            continue
-        sockets.append(item)
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    for item in sockets:
-        item.close()
-    return addresses
+    return [f"127.0.0.1:{ports.take()}" for _ in range(count)]
 
 
 class Mesh:
--- a/tests/trial.py
+++ b/tests/trial.py
@@ -88,7 +88,17 @@
             limit_s,
         )
         if not joined:
-            raise TimeoutError(f"not joined within {limit_s:g} s")
+            raise TimeoutError(f"not joined: {self._describe(names)}")
+
+    def _describe(self, names: abc.Iterable[str]) -> dict[str, object]:
+        found: dict[str, object] = {}
+        for name in names:
+            try:
+                found[name] = self.mesh.status(name)
+            except errors.ArbutusstallError as exc:
+                code = self.mesh.processes_by_name[name].poll()
+                found[name] = f"{exc}, exit code {code}"
+        return found
 
     def publish(
         self, release: dict[str, object], *options: str
