--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -68,14 +68,15 @@
     """How to reach the platform log; times in seconds.
 
     Attributes:
-        poll_s: Longest wait of a read for the next record.
+        poll_s: Longest wait of a read for the next record. A silent
+            connection is found after this and the request timeout.
         append_bound_s: How long an append is repeated.
         pending_appends: Records that wait to be appended at most.
     """
 
     url: str
     request_timeout_s: float = 2.0
-    poll_s: float = 10.0
+    poll_s: float = 1.5
     retry_base_s: float = 0.05
     retry_cap_s: float = 2.0
     append_bound_s: float = 60.0
@@ -117,8 +118,10 @@
     Attributes:
         roots: Root seats of each data centre.
         fan_out: Children that a node admits.
-        heartbeat_s: Interval of the heartbeats on each link.
-        silent_s: A link without any message for so long is replaced.
+        heartbeat_s: Interval of the heartbeats from parent to child;
+            upwards and between roots it is three times as long.
+        silent_s: A parent without any message for so long is replaced;
+            for children and other roots it is three times as long.
         seat_renew_s: Interval at which a root renews its seat.
         seat_expire_s: A seat that was not renewed for so long, while
             the log answered, is claimed by others.
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -12,6 +12,7 @@
 from arbutusstall._systems import evidence as evidence_system
 from arbutusstall._systems import lease
 from arbutusstall._systems import local_rollback
+from arbutusstall._systems import moving
 from arbutusstall._systems import plan
 from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
@@ -28,6 +29,7 @@
 _LOW_PATIENCE = 5.0
 _LOW_PATIENCE_PART = 0.1
 _LATE_S = 1.0
+_LATE = "late"
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
@@ -40,9 +42,7 @@
     if not tables.is_root:
         return effects
     leads = lease.is_leader(tables, now)
-    for rollout in tables.agreed.snapshot.rollouts_by_id.values():
-        if rollout.state is not agreed.RolloutState.RUNNING:
-            continue
+    for rollout in moving.of(tables).rollouts_by_service.values():
         watch = tables.watches_by_rollout.get(rollout.rollout_id)
         if watch is None:
             continue
@@ -62,7 +62,7 @@
     load they cannot stand.
     """
     effects: list[_effects.Effect] = []
-    for rollout in tables.agreed.snapshot.rollouts_by_id.values():
+    for rollout in moving.of(tables).rollouts_by_service.values():
         watch = tables.watches_by_rollout.get(rollout.rollout_id)
         if watch is None or not watch.probes:
             continue
@@ -109,7 +109,8 @@
         ]
     probe = tables.settings.rollout.probe_percent / 100.0
     if watch.suspected is not None and rollout.progress > probe:
-        return [_shares(tables, rollout, probe, HELD_BY_EVIDENCE)]
+        held_by = _or_late(rollout, HELD_BY_EVIDENCE, now)
+        return [_shares(tables, rollout, probe, held_by)]
     stage = _next_stage(tables, rollout, watch)
     if stage is None:
         return _finish(tables, rollout, watch, now)
@@ -121,6 +122,7 @@
         return _note_hold(tables, rollout, watch, held_by, now)
     watch.held_by = ""
     still = HELD_BY_CAPACITY if progress < stage.progress else ""
+    still = _or_late(rollout, still, now) if progress < 1.0 else ""
     return [_shares(tables, rollout, progress, still)]
 
 
@@ -235,7 +237,7 @@
     """Tell whether each route was seen well enough at this share."""
     stage_s = now.mono_s - watch.entered_s
     calls = watch.stage_calls_by_cell
-    routes = evidence_system.routes_of(tables.snapshot, rollout.service)
+    routes = moving.of(tables).routes_by_service[rollout.service]
     current = shares.mix(rollout.start, rollout.goal, rollout.progress)
     for route in routes:
         total = sum(count for cell, count in calls.items() if cell[1] == route)
@@ -281,6 +283,7 @@
         watch.held_by = held_by
         watch.held_since_s = now.mono_s
     lasted_s = now.mono_s - watch.held_since_s
+    held_by = _or_late(rollout, held_by, now) if held_by else ""
     if held_by == rollout.held_by or not held_by:
         return []
     if lasted_s < tables.settings.rollout.hold_s:
@@ -288,6 +291,16 @@
     return [_shares(tables, rollout, rollout.progress, held_by)]
 
 
+def _or_late(
+    rollout: agreed.Rollout, held_by: str, now: _clock.Instant
+) -> str:
+    """Return what holds a rollout, with a word if its time has passed."""
+    planned = rollout.by_s > rollout.started_s
+    if not planned or now.wall_s <= rollout.by_s + _LATE_S:
+        return held_by
+    return f"{held_by}, {_LATE}" if held_by else _LATE
+
+
 def _log_is_out(tables: node.Tables, now: _clock.Instant) -> bool:
     age_s = now.mono_s - tables.lease_seen_s
     return age_s >= 2 * tables.settings.lease.expire_s
@@ -340,8 +353,7 @@
 def _forget_steps(tables: node.Tables) -> None:
     running = {
         _step_id(rollout)
-        for rollout in tables.agreed.snapshot.rollouts_by_id.values()
-        if rollout.state is agreed.RolloutState.RUNNING
+        for rollout in moving.of(tables).rollouts_by_service.values()
     }
     for step_id in list(tables.next_step_s_by_rollout):
         if step_id not in running:
