--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -15,7 +15,16 @@
 
 import report
 
-MODULES = ("convergence", "moves", "calls", "fencing")
+MODULES = (
+    "convergence",
+    "convergence_processes",
+    "moves",
+    "move_slopes",
+    "calls",
+    "fencing",
+    "fold",
+    "slopes",
+)
 
 _FRAME = """\
 # Measurements
