Show configuration and tree on /metrics

Cause: only the call path had metrics, and no scenario read /metrics. Change: gauges set when they are read; the status has a module of its own, so the admin server is smaller.

--- a/features/path.feature
+++ b/features/path.feature
@@ -6,3 +6,4 @@
     When a release routes /kvoty to version v1 of kvoty
     Then it is in force on all nodes within 4 seconds
     And a call to /kvoty/today through each node answers "kvoty/v1 GET /kvoty/today"
+    And the metrics of each node show its configuration and 1 call
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 import mesh
+from prometheus_client import parser
 
 from arbutusstall._shell import http
 
@@ -69,3 +70,23 @@
         )
         assert response.status == 200, response
         assert response.body.decode().startswith(text), response
+
+
+@behave.then("the metrics of each node show its configuration and 1 call")
+def metrics(context):
+    """Read the admin server of every node."""
+    roots = 0.0
+    for name, running in context.mesh.nodes_by_name.items():
+        body = http.send(
+            http.Request(method="GET", url=f"http://{running.admin}/metrics")
+        ).body.decode()
+        values_by_name = {
+            sample.name: sample.value
+            for family in parser.text_string_to_metric_families(body)
+            for sample in family.samples
+        }
+        version = context.mesh.status(name)["version"]
+        assert values_by_name["arbutusstall_config_version"] == version
+        assert values_by_name["arbutusstall_calls_total"] == 1
+        roots += values_by_name["arbutusstall_root"]
+    assert roots == 1
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -10,13 +10,10 @@
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall._shell import control
+from arbutusstall._shell import control_metrics
 from arbutusstall._shell import inbound
 from arbutusstall._shell import outbound
-from arbutusstall._systems import progress
-from arbutusstall._tables import agreed
-from arbutusstall._tables import links
-from arbutusstall._tables import members
-from arbutusstall._wire import messages
+from arbutusstall._shell import status
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,50 +33,6 @@
     in_flight: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Status:
-    """Answer of ``GET /v1/status``.
-
-    Attributes:
-        scope: ``"mesh"`` at a root: ``known`` and ``in_force`` count
-            the whole mesh; ``"subtree"`` elsewhere: they count this
-            node and the nodes below it.
-        known: Nodes of the scope.
-        in_force: Those that have ``version`` in force.
-        lacking: Names of some that lack it.
-        data_centres: The counts of the mesh by data centre.
-        serving: Endpoints known here that take calls.
-    """
-
-    node: str
-    data_centre: str
-    version: int
-    root: bool
-    scope: str
-    known: int
-    in_force: int
-    lacking: tuple[str, ...]
-    data_centres: tuple[progress.CentreProgress, ...]
-    serving: int
-    parent: str
-    children: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigInForce:
-    """Answer of ``GET /v1/config``: what calls are routed by now.
-
-    Attributes:
-        incarnation: Names the process, as in the member table.
-        endpoints_by_service: Nodes whose targets take calls.
-    """
-
-    incarnation: int
-    snapshot: agreed.Snapshot
-    endpoints_by_service: abc.Mapping[str, tuple[str, ...]]
-    blocked: tuple[str, ...]
-
-
 class Admin:
     """A WSGI application for operators, scrapers and the target."""
 
@@ -127,50 +80,21 @@
         return wrappers.Response("ok\n")
 
     def _metrics(self, request: wrappers.Request) -> wrappers.Response:
+        control_metrics.refresh(self._core.tables)
         return wrappers.Response(
             prometheus_client.generate_latest(),
             content_type=prometheus_client.CONTENT_TYPE_LATEST,
         )
 
     def _status(self, request: wrappers.Request) -> wrappers.Response:
-        tables = self._core.tables
-        report: messages.InForce | progress.MeshProgress
-        report = progress.summary(tables)
-        centres: tuple[progress.CentreProgress, ...] = ()
-        if tables.is_root:
-            report = progress.mesh(tables)
-            centres = report.centres
-        roles = [
-            (link.role, link.peer)
-            for link in list(tables.links_by_peer.values())
-        ]
-        parents = [
-            peer for role, peer in roles if role is links.LinkRole.PARENT
-        ]
-        status = Status(
-            node=tables.member.node,
-            data_centre=tables.member.data_centre,
-            version=report.version,
-            root=tables.is_root,
-            known=report.known,
-            in_force=report.in_force,
-            scope="mesh" if tables.is_root else "subtree",
-            lacking=report.lacking,
-            data_centres=centres,
-            parent=parents[0] if parents else "",
-            children=sum(role is links.LinkRole.CHILD for role, _ in roles),
-            serving=sum(
-                member.state is members.MemberState.SERVING
-                for member in list(tables.members_by_node.values())
-            ),
-        )
+        found = status.of(self._core.tables)
         return wrappers.Response(
-            msgspec.json.encode(status), content_type="application/json"
+            msgspec.json.encode(found), content_type="application/json"
         )
 
     def _config(self, request: wrappers.Request) -> wrappers.Response:
         view = self._calls.view
-        config = ConfigInForce(
+        config = status.ConfigInForce(
             incarnation=self._core.tables.member.incarnation,
             snapshot=view.snapshot,
             endpoints_by_service={
--- /dev/null
+++ b/src/arbutusstall/_shell/control_metrics.py
@@ -0,0 +1,52 @@
+"""Metrics of configuration, membership and the distribution tree."""
+
+import prometheus_client
+
+from arbutusstall._systems import progress
+from arbutusstall._tables import links
+from arbutusstall._tables import members
+from arbutusstall._tables import node
+
+VERSION = prometheus_client.Gauge(
+    "arbutusstall_config_version", "Configuration version in force."
+)
+BLOCKED = prometheus_client.Gauge(
+    "arbutusstall_local_rollbacks", "Versions that are rolled back locally."
+)
+ENDPOINTS = prometheus_client.Gauge(
+    "arbutusstall_endpoints", "Endpoints known here, by state.", ("state",)
+)
+LINKS = prometheus_client.Gauge(
+    "arbutusstall_links", "Open streams to other nodes, by role.", ("role",)
+)
+ROOT = prometheus_client.Gauge(
+    "arbutusstall_root", "1 if this node is a root relay."
+)
+LEADER = prometheus_client.Gauge(
+    "arbutusstall_leader", "1 if this node holds the lease, as far as seen."
+)
+LACKING = prometheus_client.Gauge(
+    "arbutusstall_nodes_lacking",
+    "Known nodes that lack the version; at a root of the whole mesh.",
+)
+
+
+def refresh(tables: node.Tables) -> None:
+    """Set the gauges from the tables; called when they are read."""
+    VERSION.set(tables.snapshot.version)
+    BLOCKED.set(len(tables.blocked))
+    ROOT.set(tables.is_root)
+    holder = tables.agreed.lease.holder
+    LEADER.set(tables.is_root and holder == tables.member.node)
+    rows = list(tables.members_by_node.values())
+    for state in members.MemberState:
+        count = sum(row.state is state for row in rows)
+        ENDPOINTS.labels(state.value).set(count)
+    open_links = list(tables.links_by_peer.values())
+    for role in links.LinkRole:
+        count = sum(link.role is role for link in open_links)
+        LINKS.labels(role.value).set(count)
+    report = (
+        progress.mesh(tables) if tables.is_root else progress.summary(tables)
+    )
+    LACKING.set(report.known - report.in_force)
