Print convergence and control bytes in the demo

Cause: the demonstration timed its own programs and said nothing of control bytes. Change: convergence comes from the nodes' event lines, control bytes from their metrics.

--- a/tests/demo.py
+++ b/tests/demo.py
@@ -8,9 +8,11 @@
 import time
 
 import mesh
+from prometheus_client import parser
 
 from arbutusstall import errors
 from arbutusstall._shell import http
+from arbutusstall._timeline import lines
 
 _MOVE_S = 6.0
 _VERDICT_S = 30.0
@@ -55,9 +57,10 @@
         },
         "shares": [{"service": "kvoty", "percent_by_version": {"v1": 100}}],
     }
-    started_s = time.monotonic()
+    control = ControlBytes(demo)
+    published_s = time.time()
     print(demo.publish(first, "--wait").stdout.rstrip())
-    print(f"converged in {time.monotonic() - started_s:.2f} s")
+    _print_convergence(demo, published_s)
     stop = threading.Event()
     callers = threading.Thread(target=_call, args=(demo, stop))
     callers.start()
@@ -69,9 +72,53 @@
     finally:
         stop.set()
         callers.join()
+    control.print()
     return 0 if done and back else 1
 
 
+class ControlBytes:
+    """Counts what the nodes send to each other for control."""
+
+    def __init__(self, demo: mesh.Mesh) -> None:
+        self._demo = demo
+        self._started_s = time.monotonic()
+        self._started = self._sum()
+
+    def print(self) -> None:
+        """Print the rate since the start."""
+        seconds = time.monotonic() - self._started_s
+        nodes = len(self._demo.nodes_by_name)
+        rate = (self._sum() - self._started) / seconds / nodes
+        print(f"control: {rate:.0f} bytes a second sent by each node")
+
+    def _sum(self) -> float:
+        total = 0.0
+        for node in self._demo.nodes_by_name.values():
+            url = f"http://{node.admin}/metrics"
+            answer = http.send(http.Request(method="GET", url=url))
+            for family in parser.text_string_to_metric_families(
+                answer.body.decode()
+            ):
+                if family.name == "arbutusstall_relay_sent_bytes":
+                    total += family.samples[0].value
+        return total
+
+
+def _print_convergence(demo: mesh.Mesh, published_s: float) -> None:
+    """Print when the last node had the release in force."""
+    last_s_by_node = {}
+    for path in demo.log_paths():
+        for run in lines.read_runs(path).values():
+            for line in run:
+                if line.event == "config-in-force":
+                    last_s_by_node[line.node] = line.ts_s
+    seconds = max(last_s_by_node.values()) - published_s
+    print(
+        f"converged: in force on {len(last_s_by_node)} nodes {seconds:.2f} s"
+        " after the start of the publishing program"
+    )
+
+
 def _members(demo: mesh.Mesh) -> int:
     return min(
         int(str(demo.status(name)["serving"])) for name in demo.nodes_by_name
