Keep cold versions at their first share

Cause: a route that gives few calls at the share in force stops no step after its patience, 1 s in an 8 s move. A version slower by 800 ms has no warm call by then, since its answers come late and durations count only after a warm-up of 2 s. So it looked like a silent route and its share rose without evidence.

Ruled out: requests in flight when the version was blocked; the check counts those that start before its allowance ends, and the surplus came from steps before the first warm answer.

Change: the wait of a route with few calls begins when the version's warm-up on it ends; until a call of it is reported, when the first share came into force.

--- a/src/arbutusstall/_systems/evidence.py
+++ b/src/arbutusstall/_systems/evidence.py
@@ -109,6 +109,20 @@
     )
 
 
+def cold_since_s(watch: evidence.Watch, version: str, route: str) -> float:
+    """Return when a version's warm-up on a route began.
+
+    Until a call of it has ended and was reported, that is the time of
+    the first share: the answers may be slow.
+    """
+    times = (
+        seen_s
+        for key, seen_s in watch.first_seen_s_by_row.items()
+        if key.version == version and key.route == route
+    )
+    return min(times, default=watch.begun_s)
+
+
 def _enter(
     watch: evidence.Watch, rollout: agreed.Rollout, now: _clock.Instant
 ) -> None:
@@ -119,6 +133,8 @@
     if rollout.progress < watch.progress:
         watch.detectors_by_key.clear()
         watch.probes += 1
+    if watch.progress <= 0.0 < rollout.progress:
+        watch.begun_s = now.mono_s
     watch.step = rollout.step
     watch.progress = rollout.progress
     watch.entered_s = now.mono_s
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -260,7 +260,12 @@
         for version in shares.rising(rollout):
             expected = total * current[version] / 100.0
             seen = calls.get((version, route), 0)
-            if not _is_seen(tables, rollout, seen, expected, stage_s):
+            cold_s = evidence_system.cold_since_s(watch, version, route)
+            warm_s = now.mono_s - cold_s - tables.settings.rollout.warm_up_s
+            waited_s = min(stage_s, warm_s)
+            if not _is_seen(
+                tables, rollout, seen, expected, stage_s, waited_s
+            ):
                 return False
     return True
 
@@ -271,7 +276,16 @@
     seen: int,
     expected: float,
     stage_s: float,
+    waited_s: float,
 ) -> bool:
+    """Tell whether one route gave a version enough calls.
+
+    Args:
+        seen: Warm calls in this stage.
+        expected: Calls that the share in force should have given.
+        stage_s: Time in this stage.
+        waited_s: Time in this stage in which warm calls could come.
+    """
     policy = tables.settings.rollout
     if seen >= policy.min_calls:
         return True
@@ -284,7 +298,7 @@
         max(length_s * _LOW_PATIENCE_PART, policy.patience_s),
         policy.patience_s * _LOW_PATIENCE,
     )
-    return stage_s >= low_patience_s and expected < policy.few_calls
+    return waited_s >= low_patience_s and expected < policy.few_calls
 
 
 def _note_hold(
--- a/src/arbutusstall/_tables/evidence.py
+++ b/src/arbutusstall/_tables/evidence.py
@@ -166,6 +166,7 @@
         progress: The progress in force since ``entered_s``.
         entered_s: Monotonic time at which this node saw the stage.
         entered_wall_s: The same in seconds since the epoch.
+        begun_s: Monotonic time at which the first share was in force.
         suspected: Comparison in which the version is worse than the old
             one has been, with too few calls to compare at this time.
         suspected_s: Monotonic time since when; zero if it is not.
@@ -186,6 +187,7 @@
     progress: float = 0.0
     entered_s: float = 0.0
     entered_wall_s: float = 0.0
+    begun_s: float = 0.0
     next_look_s: float = 0.0
     last_look_s: float = 0.0
     gathered_by_cell: dict[Cell, outcomes.OutcomeCounts] = dataclasses.field(
