Close the old socket when a new one is opened

Cause: a profile of the node showed 649 texts of sockets made in 651 openings: the socket that a handle kept was left to the collector, which writes a ResourceWarning for each, shown or not. Change: close our duplicate before the next one takes its place, at the moment at which it was collected until now.

--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -137,6 +137,9 @@
 
     def _open(self, purpose: int, address: Any) -> socket.socket:
         family, kind, protocol, _ = address
+        if self._socket is not None:
+            # Left to the collector, it costs a warning's text each time.
+            self._socket.close()
         self._socket = socket.socket(family, kind, protocol)
         return self._socket
 
