Pass plain answers on without a second response

Cause: in a profile of the caller's node the answer to the caller was built as a werkzeug response, its headers checked, copied and put into another list, for an answer that the target has already worded. Change: an answer of status 200 goes out as it came, with the same three headers after it. Every other status and every value with a line end in it still takes werkzeug's way.

--- a/src/arbutusstall/_shell/outbound.py
+++ b/src/arbutusstall/_shell/outbound.py
@@ -1,6 +1,7 @@
 """The outbound proxy: takes callers' requests and routes them."""
 
 from collections import abc
+import dataclasses
 import logging
 import math
 import random
@@ -8,6 +9,7 @@
 from typing import Any
 import uuid
 
+from werkzeug import http as http_words
 from werkzeug import wrappers
 
 from arbutusstall import _effects
@@ -33,6 +35,7 @@
 UNKNOWN = headers.UNKNOWN
 
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
+_OK = 200
 _NOT_FOUND = 404
 _LOOP_DETECTED = 508
 _UNAVAILABLE = 503
@@ -40,6 +43,14 @@
 _BAD_REQUEST = 400
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Passed:
+    # A target's answer as it is written to the caller.
+    status: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
 class Outbound:
     """A WSGI application that answers callers."""
 
@@ -85,9 +96,14 @@
         """Answer one request (WSGI)."""
         request = wrappers.Request(environ)
         response = self._answer(request)
+        if isinstance(response, _Passed):
+            start_response(response.status, response.headers)
+            return [response.body]
         return response(environ, start_response)  # type: ignore[arg-type]
 
-    def _answer(self, request: wrappers.Request) -> wrappers.Response:
+    def _answer(
+        self, request: wrappers.Request
+    ) -> wrappers.Response | _Passed:
         started_s = time.monotonic()
         view = self._view
         request_id = request.headers.get(REQUEST_ID) or uuid.uuid4().hex
@@ -133,7 +149,7 @@
 
     def _render(
         self, call: messages.CallRequest, outcome: dispatch.Outcome
-    ) -> wrappers.Response:
+    ) -> wrappers.Response | _Passed:
         answer = outcome.answer
         if outcome.step is attempts.Step.SAY_UNKNOWN or answer is None:
             if outcome.step is attempts.Step.SAY_NOT_RUN:
@@ -151,6 +167,8 @@
                 UNKNOWN,
                 call=call,
             )
+        if _is_plain(call, answer):
+            return _passed(call, answer)
         response = wrappers.Response(answer.body, status=answer.status)
         response.headers.clear()
         response.headers.extend(answer.headers)
@@ -197,6 +215,30 @@
         return response
 
 
+def _is_plain(call: messages.CallRequest, answer: messages.CallAnswer) -> bool:
+    # Other statuses change which headers an answer has, and a line end
+    # in a value would break the head; werkzeug's response knows both.
+    values = (call.request_id, *(value for _, value in answer.headers))
+    return answer.status == _OK and not any(
+        "\n" in value or "\r" in value for value in values
+    )
+
+
+def _passed(
+    call: messages.CallRequest, answer: messages.CallAnswer
+) -> _Passed:
+    return _Passed(
+        status=f"{_OK} {http_words.HTTP_STATUS_CODES[_OK]}",
+        headers=[
+            *answer.headers,
+            ("Content-Length", str(len(answer.body))),
+            (REQUEST_ID, call.request_id),
+            (headers.VERSION, call.version),
+        ],
+        body=answer.body,
+    )
+
+
 def _call(
     request: wrappers.Request,
     request_id: str,
