--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -24,10 +24,10 @@
 from arbutusstall import protocols  # noqa: E402
 from arbutusstall import settings as node_settings  # noqa: E402
 from arbutusstall._log import records  # noqa: E402
-from arbutusstall._systems import evidence  # noqa: E402
+from arbutusstall._systems import observation  # noqa: E402
 from arbutusstall._systems import rollout  # noqa: E402
 from arbutusstall._tables import agreed  # noqa: E402
-from arbutusstall._tables import evidence as evidence_tables  # noqa: E402
+from arbutusstall._tables import comparisons  # noqa: E402
 from arbutusstall._tables import node  # noqa: E402
 
 _COMMAND = "PYTHONPATH=src:tests python benchmarks/moves.py"
@@ -130,14 +130,14 @@
     def decide(
         tables: node.Tables,
         moved: agreed.Rollout,
-        watch: evidence_tables.Watch,
+        watch: comparisons.Watch,
         now: protocols.Instant,
     ) -> list[records.Record]:
         return _baseline(tables, moved, watch, now, threshold)
 
     with (
         mock.patch.object(rollout, "_decide", decide),
-        mock.patch.object(evidence, "_condemns", lambda *_: False),
+        mock.patch.object(observation, "_rejects", lambda *_: False),
     ):
         yield
 
@@ -145,7 +145,7 @@
 def _baseline(
     tables: node.Tables,
     moved: agreed.Rollout,
-    watch: evidence_tables.Watch,
+    watch: comparisons.Watch,
     now: protocols.Instant,
     threshold: bool,
 ) -> list[records.Record]:
@@ -160,7 +160,7 @@
     return [rollout._shares(tables, moved, max(progress, 0.05), "")]
 
 
-def _over_threshold(watch: evidence_tables.Watch) -> bool:
+def _over_threshold(watch: comparisons.Watch) -> bool:
     return any(
         counts.calls >= _THRESHOLD_CALLS
         and counts.failures > counts.calls * _THRESHOLD_SHARE
--- a/features/moves.feature
+++ b/features/moves.feature
@@ -81,8 +81,8 @@
     Then every move is done
     And its state and its verdict say that it is late
 
-  Scenario: a burst in one interval does not condemn by itself
-    Then a burst of bad calls in one look condemns nothing
+  Scenario: a burst in one interval does not reject by itself
+    Then a burst of bad calls in one look rejects nothing
 
   Scenario: share plans keep their rules
     Then 200 share plans rise to the goal in time and never jump
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -23,7 +23,7 @@
 
 
 class _NoTombstones(revocation.CallTable):
-    def _bury(self, call_id, sent_ms, now_ms):
+    def _add_tombstone(self, call_id, sent_ms, now_ms):
         return revocation.messages.RevokeState.REVOKED
 
 
--- a/features/steps/moves_rules_steps.py
+++ b/features/steps/moves_rules_steps.py
@@ -18,7 +18,7 @@
 from arbutusstall._systems import outcomes as outcomes_system
 from arbutusstall._systems import plan
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
@@ -37,13 +37,13 @@
     return wrap
 
 
-@behave.then("a burst of bad calls in one look condemns nothing")
+@behave.then("a burst of bad calls in one look rejects nothing")
 def burst(context):
     """Check that one look alone cannot reach the threshold."""
 
     @_check(100, _COUNT, _COUNT)
     def check(bad, old):
-        look = evidence.Look(
+        look = comparisons.Look(
             new_calls=bad, new_bad=bad, old_calls=old, old_bad=0
         )
         detector = comparison.replay([look], _LIMIT)
@@ -85,7 +85,7 @@
 
 @behave.then("{count:d} wrong rollback messages leave a node as it was")
 def wrong_messages(context, count):
-    """Send looks that condemn nothing, or concern something else."""
+    """Send looks that reject nothing, or concern something else."""
     context.model = _model_at_first_share()
     core = context.model.root()
     rollout = context.model.rollout()
@@ -98,11 +98,11 @@
         strategies.sampled_from(["", "rollout", "version", "route", "many"]),
     )
     def check(counts, wrong):
-        row = evidence.LocalRollback(
+        row = comparisons.LocalRollback(
             rollout_id=rollout.rollout_id,
             version="v2",
             route="/kvoty",
-            metric=evidence.Metric.ERRORS,
+            metric=comparisons.Metric.ERRORS,
             looks=tuple(_same_rate(*item) for item in counts),
         )
         row = _spoilt(row, wrong)
@@ -115,10 +115,10 @@
 
 @behave.then("a right one rolls the version back")
 def right_message(context):
-    """Send looks that condemn the version."""
+    """Send looks that reject the version."""
     model = context.model
     core = model.root()
-    row = _condemning(model.rollout().rollout_id)
+    row = _rejecting(model.rollout().rollout_id)
     names = list(model.driver.cores_by_name)
     assert max(model.share(name) for name in names) > 0.0
     model.driver.put(core.tables.member.node, _notice(row))
@@ -237,7 +237,7 @@
 
 def _same_rate(calls, old_calls, bad):
     share = bad / 200.0
-    return evidence.Look(
+    return comparisons.Look(
         new_calls=calls,
         new_bad=int(calls * share),
         old_calls=max(old_calls, calls),
@@ -245,13 +245,13 @@
     )
 
 
-def _condemning(rollout_id):
-    look = evidence.Look(new_calls=10, new_bad=8, old_calls=100, old_bad=0)
-    return evidence.LocalRollback(
+def _rejecting(rollout_id):
+    look = comparisons.Look(new_calls=10, new_bad=8, old_calls=100, old_bad=0)
+    return comparisons.LocalRollback(
         rollout_id=rollout_id,
         version="v2",
         route="/kvoty",
-        metric=evidence.Metric.ERRORS,
+        metric=comparisons.Metric.ERRORS,
         looks=(look,) * 5,
     )
 
@@ -259,8 +259,8 @@
 def _spoilt(row, wrong):
     if not wrong:
         return row
-    bad = _condemning(row.rollout_id)
-    look = evidence.Look(new_calls=1, new_bad=8, old_calls=100, old_bad=0)
+    bad = _rejecting(row.rollout_id)
+    look = comparisons.Look(new_calls=1, new_bad=8, old_calls=100, old_bad=0)
     return {
         "rollout": dataclasses.replace(bad, rollout_id="first/kvoty"),
         "version": dataclasses.replace(bad, version="v1"),
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -100,7 +100,7 @@
 
 @behave.when("a version with {kind} is released over {seconds:d} seconds")
 def release_quickly(context, kind, seconds):
-    """Run the model with less time than the evidence needs."""
+    """Run the model with less time than the counts need."""
     context.results = [
         _run(kind, seed=seed, planned_s=float(seconds))
         for seed in range(_SEEDS)
--- a/features/steps/tree_process_steps.py
+++ b/features/steps/tree_process_steps.py
@@ -10,7 +10,7 @@
 _LIMIT_S = 30.0
 
 
-@behave.given("a tree of {count:d} processes with {roots:d} root seats")
+@behave.given("a tree of {count:d} processes with {roots:d} root positions")
 def start(context, count, roots):
     """Start nodes without targets and wait until all are attached."""
     context.mesh = mesh.Mesh(context.directory, {"relay": {"roots": roots}})
--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -91,13 +91,13 @@
     context.fleet.log_delay_s = delay_ms / 1000
 
 
-@behave.then("nobody lost a seat that it had taken")
+@behave.then("nobody lost a position that it had taken")
 def no_seat_lost(context):
     """Check that no claim replaced a newer one."""
     lost = [
         name
         for at_s, name, emit in context.fleet.emitted
-        if at_s > context.begin_s and emit.event == "root-seat-lost"
+        if at_s > context.begin_s and emit.event == "root-role-lost"
     ]
     assert not lost, lost
 
@@ -254,13 +254,13 @@
     context.fleet.run(3.0)
 
 
-@behave.then("all seats are held again within {limit:d} seconds")
+@behave.then("all positions are held again within {limit:d} seconds")
 def seats_held(context, limit):
-    """Wait for all seats and links."""
+    """Wait for all positions and links."""
     fleet.wait(context.fleet, lambda: _settled(context), limit)
 
 
-@behave.then("no seat changes hands for {seconds:d} seconds")
+@behave.then("no position changes hands for {seconds:d} seconds")
 def seats_kept(context, seconds):
     """Compare the holders before and after."""
     before = sorted(context.fleet.roots())
@@ -270,7 +270,7 @@
     events = [
         emit.event
         for at_s, _, emit in context.fleet.emitted
-        if at_s > begin_s and emit.event.startswith("root-seat")
+        if at_s > begin_s and emit.event.startswith("root-position")
     ]
     assert not events, events
 
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -1,11 +1,11 @@
 Feature: Distribution tree
   Roots read the log, everybody else streams from a parent.
 
-  Scenario: the seat of a dead root is taken once and then kept
+  Scenario: the position of a dead root is taken once and then kept
     Given a fleet of 40 nodes in lipno, svet that has settled
     When a root dies
-    Then all seats are held again within 20 seconds
-    And no seat changes hands for 60 seconds
+    Then all positions are held again within 20 seconds
+    And no position changes hands for 60 seconds
     And the fleet's log took at most 20 appends a second
 
   Scenario: a root that was frozen past its expiry steps down
@@ -17,22 +17,22 @@
   Scenario: all roots of a data centre die at once
     Given a fleet of 60 nodes in lipno, svet that has settled
     When all roots of lipno die
-    Then all seats are held again within 30 seconds
+    Then all positions are held again within 30 seconds
     And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: a data centre that returns at once spares the log
     Given a fleet of 240 nodes in lipno, svet that has settled
     When the fleet's log answers after 200 milliseconds
     And all nodes of lipno are gone for 30 seconds and come back as new
-    Then all seats are held again within 20 seconds
+    Then all positions are held again within 20 seconds
     And the fleet's log took at most 40 appends a second
-    And nobody lost a seat that it had taken
+    And nobody lost a position that it had taken
     And a release to the fleet is in force everywhere within 4 seconds
 
-  Scenario: an outage of the log costs no root its seat
+  Scenario: an outage of the log costs no root its position
     Given a fleet of 40 nodes in lipno, svet that has settled
     When the fleet's log is out for 120 seconds
-    Then no seat changes hands for 60 seconds
+    Then no position changes hands for 60 seconds
     And a release to the fleet is in force everywhere within 4 seconds
 
   Scenario: a node that starts while the log is out asks the seeds
--- a/features/tree_processes.feature
+++ b/features/tree_processes.feature
@@ -2,7 +2,7 @@
   What holds in the driver holds for streams and threads too.
 
   Scenario: a root process that stops or freezes does not stop convergence
-    Given a tree of 7 processes with 2 root seats
+    Given a tree of 7 processes with 2 root positions
     When a root process with children is told to stop
     Then it ends by itself within 10 seconds with its children elsewhere
     And a release reaches all tree processes within 4 seconds
--- a/src/arbutusstall/_cli/waiting.py
+++ b/src/arbutusstall/_cli/waiting.py
@@ -96,7 +96,7 @@
 def ask(state: agreed.Agreed, version: int) -> Progress:
     """Ask the roots how far ``version`` is; each sums up the mesh."""
     progress = Progress()
-    for root in state.roots_by_seat.values():
+    for root in state.roots_by_key.values():
         status = _status(root.admin)
         if status is None or status.scope != _MESH:
             progress = dataclasses.replace(
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -18,8 +18,8 @@
 from arbutusstall._systems import progress
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import rollout
+from arbutusstall._systems import root_claims
 from arbutusstall._systems import rows
-from arbutusstall._systems import seats
 from arbutusstall._systems import tree
 from arbutusstall._tables import links
 from arbutusstall._tables import members
@@ -42,7 +42,7 @@
     messages.Welcome: tree.on_welcome,
     messages.Refusal: tree.on_refusal,
     messages.Heartbeat: tree.on_heartbeat,
-    messages.SeatsUpdate: tree.on_seats,
+    messages.RootsUpdate: tree.on_roots,
     messages.SnapshotUpdate: distribution.on_update,
     messages.SnapshotDelta: distribution.on_delta,
     messages.SnapshotWanted: distribution.on_wanted,
@@ -116,7 +116,7 @@
 
     def tick(self, now: _clock.Instant) -> list[_effects.Effect]:
         """Run the periodic systems over the tables."""
-        effects = seats.run(self.tables, now)
+        effects = root_claims.run(self.tables, now)
         effects += tree.run(self.tables, now)
         effects += liveness.run(self.tables, now)
         effects += membership.run(self.tables, now)
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -14,7 +14,7 @@
 from arbutusstall._log import rollouts
 from arbutusstall._tables import agreed as tables
 
-_MAX_SEATS = 64
+_MAX_ROOTS = 64
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -112,14 +112,14 @@
 def _root(
     state: tables.Agreed, offset: int, record: records.RootRecord
 ) -> tables.Agreed:
-    if not 0 <= record.seat < _MAX_SEATS:
+    if not 0 <= record.position < _MAX_ROOTS:
         return state
-    key = tables.seat_key(record.data_centre, record.seat)
-    held = state.roots_by_seat.get(key)
+    key = tables.root_key(record.data_centre, record.position)
+    held = state.roots_by_key.get(key)
     current = held.offset if held else tables.NO_OFFSET
     if current != record.replaces:
         return state
-    roots = dict(state.roots_by_seat)
+    roots = dict(state.roots_by_key)
     if any(
         other != key and root.node == record.node
         for other, root in roots.items()
@@ -131,23 +131,23 @@
         address=record.address,
         admin=record.admin,
         incarnation=record.incarnation,
-        seat=record.seat,
+        position=record.position,
         offset=offset,
         renewed=offset,
     )
-    return dataclasses.replace(state, roots_by_seat=roots)
+    return dataclasses.replace(state, roots_by_key=roots)
 
 
 def _root_renewal(
     state: tables.Agreed, offset: int, record: records.RootRenewal
 ) -> tables.Agreed:
-    key = tables.seat_key(record.data_centre, record.seat)
-    root = state.roots_by_seat.get(key)
+    key = tables.root_key(record.data_centre, record.position)
+    root = state.roots_by_key.get(key)
     if root is None or root.offset != record.claim:
         return state
-    roots = dict(state.roots_by_seat)
+    roots = dict(state.roots_by_key)
     if record.released:
         del roots[key]
     else:
         roots[key] = dataclasses.replace(root, renewed=offset)
-    return dataclasses.replace(state, roots_by_seat=roots)
+    return dataclasses.replace(state, roots_by_key=roots)
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -81,7 +81,7 @@
     Attributes:
         done: True when the goal was reached, false for a rollback.
         reason: One line with the outcome counts behind the verdict.
-        condemned: Versions to block; after a rollback none means all
+        rejected: Versions to block; after a rollback none means all
             that were rising.
     """
 
@@ -90,18 +90,18 @@
     rollout_id: str
     done: bool
     reason: str
-    condemned: tuple[str, ...] = ()
+    rejected: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RootRecord:
-    """Claims a root seat of a data centre.
+    """Claims a root position of a data centre.
 
     Attributes:
         address: Relay address of the claimant.
         admin: Admin address of the claimant.
-        seat: Number of the seat within the data centre.
-        replaces: Offset of the claim that holds the seat, -1 if none;
+        position: Number of the position within the data centre.
+        replaces: Offset of the claim that holds the position, -1 if none;
             the claim counts only if that is still so.
     """
 
@@ -111,17 +111,17 @@
     data_centre: str
     address: str
     admin: str
-    seat: int
+    position: int
     replaces: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RootRenewal:
-    """Keeps or gives back the seat that was claimed at ``claim``."""
+    """Keeps or gives back the position that was claimed at ``claim``."""
 
     record_id: str
     data_centre: str
-    seat: int
+    position: int
     claim: int
     released: bool = False
 
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -213,17 +213,17 @@
         )
         return _with_rollout(state, offset, ended, percent=rollout.goal)
     rises = shares.rising(rollout)
-    condemned = tuple(name for name in record.condemned if name in rises)
-    condemned = condemned or rises
+    rejected = tuple(name for name in record.rejected if name in rises)
+    rejected = rejected or rises
     ended = dataclasses.replace(
         rollout,
         state=tables.RolloutState.ROLLED_BACK,
         reason=record.reason,
         held_by="",
-        condemned=condemned,
+        rejected=rejected,
     )
     return _with_rollout(
-        state, offset, ended, percent=shares.rolled_back(rollout, condemned)
+        state, offset, ended, percent=shares.rolled_back(rollout, rejected)
     )
 
 
@@ -253,7 +253,7 @@
         snapshot=dataclasses.replace(
             state.snapshot,
             rollouts_by_id=kept,
-            blocked=state.snapshot.blocked & _condemned(kept),
+            blocked=state.snapshot.blocked & _rejected(kept),
         ),
         ended_rollouts_by_id={
             rollout.rollout_id: rollout
@@ -276,11 +276,11 @@
     ]
 
 
-def _condemned(rollouts: abc.Mapping[str, tables.Rollout]) -> set[str]:
+def _rejected(rollouts: abc.Mapping[str, tables.Rollout]) -> set[str]:
     return {
         f"{rollout.service}/{version}"
         for rollout in rollouts.values()
-        for version in rollout.condemned
+        for version in rollout.rejected
     }
 
 
@@ -324,7 +324,7 @@
 ) -> tables.Agreed:
     old = state.snapshot
     blocked = old.blocked | {
-        f"{rollout.service}/{version}" for version in rollout.condemned
+        f"{rollout.service}/{version}" for version in rollout.rejected
     }
     snapshot = dataclasses.replace(
         old,
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -116,14 +116,14 @@
     """Shape and times of the distribution tree; times in seconds.
 
     Attributes:
-        roots: Root seats of each data centre.
+        roots: Root positions of each data centre.
         fan_out: Children that a node admits.
         heartbeat_s: Interval of the heartbeats from parent to child;
             upwards and between roots it is three times as long.
         silent_s: A parent without any message for so long is replaced;
             for children and other roots it is three times as long.
-        seat_renew_s: Interval at which a root renews its seat.
-        seat_expire_s: A seat that was not renewed for so long, while
+        root_renew_s: Interval at which a root renews its position.
+        root_expire_s: A position that was not renewed for so long, while
             the log answered, is claimed by others.
         refresh_s: Interval at which a node is reported alive.
         expire_s: A node not reported alive for so long is taken for
@@ -137,8 +137,8 @@
     fan_out: int = 16
     heartbeat_s: float = 2.0
     silent_s: float = 6.0
-    seat_renew_s: float = 5.0
-    seat_expire_s: float = 16.0
+    root_renew_s: float = 5.0
+    root_expire_s: float = 16.0
     refresh_s: float = 30.0
     expire_s: float = 100.0
     forget_s: float = 600.0
@@ -165,9 +165,9 @@
         watch_s: Time that a rollout is watched near and at its goal.
         look_s: Interval at which outcome counts are compared.
         report_s: Interval at which outcome counts are reported.
-        min_calls: Calls on a route that are enough evidence for a step.
+        min_calls: Calls on a route that are enough for a step.
         few_calls: Calls that are enough after ``patience_s``.
-        patience_s: Time after which less evidence is enough.
+        patience_s: Time after which fewer are enough.
         warm_up_s: Time in which an endpoint's slow answers are ignored.
         error_ratio: Tolerated error rate as a multiple of the old
             version's.
--- a/src/arbutusstall/_systems/admit.py
+++ b/src/arbutusstall/_systems/admit.py
@@ -2,7 +2,7 @@
 
 from arbutusstall import _clock
 from arbutusstall._systems import rendezvous
-from arbutusstall._systems import seats
+from arbutusstall._systems import root_claims
 from arbutusstall._systems import tiers
 from arbutusstall._tables import links
 from arbutusstall._tables import node
@@ -49,7 +49,7 @@
     ]
     addresses += [
         root.address
-        for root in seats.local_roots(tables)
+        for root in root_claims.local_roots(tables)
         if root.node != tables.member.node
     ]
     return tuple(dict.fromkeys(addresses))
--- a/src/arbutusstall/_systems/attach.py
+++ b/src/arbutusstall/_systems/attach.py
@@ -4,7 +4,7 @@
 from arbutusstall import _effects
 from arbutusstall._systems import admit
 from arbutusstall._systems import rendezvous
-from arbutusstall._systems import seats
+from arbutusstall._systems import root_claims
 from arbutusstall._systems import tiers
 from arbutusstall._tables import links
 from arbutusstall._tables import node
@@ -122,7 +122,7 @@
     retry = tables.relay.retry_s_by_address
     missing = [
         root.address
-        for root in tables.agreed.roots_by_seat.values()
+        for root in tables.agreed.roots_by_key.values()
         if root.node > tables.member.node
         and root.node not in tables.links_by_peer
         and now.mono_s >= retry.get(root.address, 0.0)
@@ -173,7 +173,7 @@
         tables.next_attach_s = now.mono_s + wait_s
     effects: list[_effects.Effect] = []
     if state.rounds >= _ROUNDS_BEFORE_LOG or not state.candidates:
-        effects += seats.follow(tables)
+        effects += root_claims.follow(tables)
     if state.rounds == _ROUNDS_BEFORE_CUT and has_children(tables):
         effects += _cut_children(tables)
     return effects
@@ -195,13 +195,13 @@
         policy.fan_out,
     )
     addresses = [members[name] for name in names[:_MAX_PARENTS]]
-    lapsed = {seat.seat for seat in tables.relay.vacant}
+    lapsed = {root.position for root in tables.relay.vacant}
     if tables.relay.follows_log:
-        lapsed = {seat.seat for seat in seats.vacant(tables)}
+        lapsed = {root.position for root in root_claims.vacant(tables)}
     roots = {
         root.node: root.address
-        for root in seats.local_roots(tables)
-        if root.seat not in lapsed and root.node != own.node
+        for root in root_claims.local_roots(tables)
+        if root.position not in lapsed and root.node != own.node
     }
     addresses += [roots[name] for name in rendezvous.order(own.node, roots)]
     if not tables.caught_up or not addresses:
--- a/src/arbutusstall/_systems/comparison.py
+++ b/src/arbutusstall/_systems/comparison.py
@@ -6,7 +6,7 @@
 
 * relative: of all bad calls of the look, how many are the new
   version's, given its part of the calls. A fault of a shared back end
-  changes both and is no evidence.
+  changes both and says nothing.
 * absolute: how many of the new version's calls are bad, given the rate
   that is tolerated.
 
@@ -14,7 +14,7 @@
 from the last time the sum was not positive (a CUSUM), so that a version
 that turns bad late is judged by what it does now; the mean over the
 degrees counts. With a threshold of ``ln(looks * comparisons / alpha)``
-the chance to condemn a sound version within that many looks is at most
+the chance to reject a sound version within that many looks is at most
 ``alpha``.
 """
 
@@ -22,7 +22,7 @@
 import dataclasses
 import math
 
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 
 _WORSE = (2.0, 6.0, 30.0)
 _TOWARDS_ALL = (0.08, 0.3, 0.8)
@@ -39,7 +39,7 @@
     Attributes:
         ratio: Tolerated rate as a multiple of the old version's.
         floor: Rate that is tolerated in any case, 0 to 1.
-        threshold: Log evidence that condemns.
+        threshold: Log e-value that rejects.
     """
 
     ratio: float
@@ -48,38 +48,38 @@
 
     @property
     def most_per_look(self) -> float:
-        """Log evidence that a single look can add.
+        """Log e-value that a single look can add.
 
         Outcomes within one interval depend on each other (a pause, a
-        burst), so no single look condemns.
+        burst), so no single look rejects.
         """
         return self.threshold / 3.0
 
 
 def threshold(looks: int, comparisons: int, alpha: float) -> float:
-    """Return the log evidence that condemns.
+    """Return the log e-value that rejects.
 
     Args:
         looks: Looks that the rollout is planned to take.
         comparisons: Routes times metrics times versions.
-        alpha: Chance to condemn a sound version in one rollout.
+        alpha: Chance to reject a sound version in one rollout.
     """
     return math.log(max(looks, 1) * max(comparisons, 1) / alpha)
 
 
 def update(
-    detector: evidence.Detector,
-    look: evidence.Look,
+    detector: comparisons.Detector,
+    look: comparisons.Look,
     tolerance: Tolerance,
     usual: float,
-) -> evidence.Detector:
+) -> comparisons.Detector:
     """Return the detector after one more look.
 
     Args:
         usual: Rate of bad calls of the old version so far, 0 to 1.
     """
     floor = min(max(tolerance.floor, usual * tolerance.ratio), 0.9)
-    return evidence.Detector(
+    return comparisons.Detector(
         relatives=_add(
             detector.relatives, _relative(look, tolerance.ratio), tolerance
         ),
@@ -88,12 +88,12 @@
     )
 
 
-def is_bad(detector: evidence.Detector, tolerance: Tolerance) -> bool:
-    """Tell whether the evidence condemns the version."""
+def is_bad(detector: comparisons.Detector, tolerance: Tolerance) -> bool:
+    """Tell whether the counts reject the version."""
     return min(detector.relative, detector.absolute) >= tolerance.threshold
 
 
-def is_suspect(detector: evidence.Detector, tolerance: Tolerance) -> bool:
+def is_suspect(detector: comparisons.Detector, tolerance: Tolerance) -> bool:
     """Tell whether the version is bad, with nothing to compare it to.
 
     It is worse than the old version was, and the old one gets too few
@@ -107,7 +107,7 @@
     )
 
 
-def is_scarce(looks: abc.Sequence[evidence.Look]) -> bool:
+def is_scarce(looks: abc.Sequence[comparisons.Look]) -> bool:
     """Tell whether the old versions lately got few calls to compare."""
     newest = looks[-_NEWEST_LOOKS:]
     new_calls = sum(look.new_calls for look in newest)
@@ -116,16 +116,16 @@
 
 
 def replay(
-    looks: abc.Iterable[evidence.Look], tolerance: Tolerance
-) -> evidence.Detector:
+    looks: abc.Iterable[comparisons.Look], tolerance: Tolerance
+) -> comparisons.Detector:
     """Return the detector after ``looks`` alone."""
-    detector = evidence.Detector()
+    detector = comparisons.Detector()
     for look in looks:
         detector = update(detector, look, tolerance, 0.0)
     return detector
 
 
-def is_sound(look: evidence.Look) -> bool:
+def is_sound(look: comparisons.Look) -> bool:
     """Tell whether the counts of a look are possible."""
     return (
         0 <= look.new_bad <= look.new_calls
@@ -145,7 +145,7 @@
     )
 
 
-def _relative(look: evidence.Look, ratio: float) -> tuple[float, ...]:
+def _relative(look: comparisons.Look, ratio: float) -> tuple[float, ...]:
     if not look.new_calls or not look.old_calls:
         return _NOTHING
     if not look.new_bad and not look.old_bad:
@@ -159,12 +159,12 @@
     )
 
 
-def _part(look: evidence.Look, ratio: float) -> float:
+def _part(look: comparisons.Look, ratio: float) -> float:
     weighted = look.new_calls * ratio
     return weighted / (weighted + look.old_calls)
 
 
-def _absolute(look: evidence.Look, floor: float) -> tuple[float, ...]:
+def _absolute(look: comparisons.Look, floor: float) -> tuple[float, ...]:
     good = look.new_calls - look.new_bad
     rates = (floor + (1.0 - floor) * way for way in _TOWARDS_ALL)
     return tuple(
@@ -175,8 +175,8 @@
 
 
 def _keep(
-    looks: tuple[evidence.Look, ...], look: evidence.Look
-) -> tuple[evidence.Look, ...]:
+    looks: tuple[comparisons.Look, ...], look: comparisons.Look
+) -> tuple[comparisons.Look, ...]:
     if not look.new_calls and not look.old_calls:
         return looks
     return (*looks[-(_MOST_LOOKS - 1) :], look)
--- a/src/arbutusstall/_systems/liveness.py
+++ b/src/arbutusstall/_systems/liveness.py
@@ -8,7 +8,7 @@
 from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall._systems import membership
-from arbutusstall._systems import seats
+from arbutusstall._systems import root_claims
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
@@ -116,10 +116,10 @@
 
 
 def _linked_to_all_roots(tables: node.Tables) -> bool:
-    lapsed = {seat.seat for seat in seats.vacant(tables)}
+    lapsed = {root.position for root in root_claims.vacant(tables)}
     return all(
         root.node in tables.links_by_peer
         or root.node == tables.member.node
-        or root.seat in lapsed
-        for root in seats.local_roots(tables)
+        or root.position in lapsed
+        for root in root_claims.local_roots(tables)
     )
--- a/src/arbutusstall/_systems/local_rollback.py
+++ b/src/arbutusstall/_systems/local_rollback.py
@@ -12,11 +12,11 @@
 from arbutusstall import _effects
 from arbutusstall._systems import comparison
 from arbutusstall._systems import distribution
-from arbutusstall._systems import evidence as evidence_system
 from arbutusstall._systems import moving
+from arbutusstall._systems import observation
 from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
 
@@ -27,11 +27,11 @@
 
 def begin(
     tables: node.Tables,
-    row: evidence.LocalRollback,
+    row: comparisons.LocalRollback,
     now: _clock.Instant,
     source: str = "",
 ) -> list[_effects.Effect]:
-    """Give a version no traffic from now on, if the looks condemn it.
+    """Give a version no traffic from now on, if the looks reject it.
 
     Args:
         source: Peer that sent the row; empty for the node itself.
@@ -65,7 +65,7 @@
     message: messages.RollbackNotice,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Check the looks of a neighbour and follow it if they condemn."""
+    """Check the looks of a neighbour and follow it if they reject."""
     effects: list[_effects.Effect] = []
     for row in message.rows:
         effects += begin(tables, row, now, source=peer)
@@ -87,8 +87,8 @@
     return effects
 
 
-def confirms(tables: node.Tables, row: evidence.LocalRollback) -> bool:
-    """Tell whether the looks of a local rollback condemn the version.
+def confirms(tables: node.Tables, row: comparisons.LocalRollback) -> bool:
+    """Tell whether the looks of a local rollback reject the version.
 
     Without enough calls of the old version beside it, the looks count
     only if the share in force here explains that.
@@ -101,7 +101,7 @@
     routes = moving.of(tables).routes_by_service[rollout.service]
     if row.route not in routes or not _are_sound(row.looks):
         return False
-    limit = evidence_system.tolerance(tables, rollout, row.metric)
+    limit = observation.tolerance(tables, rollout, row.metric)
     detector = comparison.replay(row.looks, limit)
     if comparison.is_bad(detector, limit):
         return True
@@ -110,7 +110,7 @@
     )
 
 
-def _are_sound(looks: abc.Sequence[evidence.Look]) -> bool:
+def _are_sound(looks: abc.Sequence[comparisons.Look]) -> bool:
     return len(looks) <= _MOST_LOOKS and all(
         comparison.is_sound(look) for look in looks
     )
@@ -144,7 +144,7 @@
 
 def _tell(
     tables: node.Tables,
-    rows: list[evidence.LocalRollback],
+    rows: list[comparisons.LocalRollback],
     peers: abc.Iterable[str],
 ) -> list[_effects.Effect]:
     notice = messages.RollbackNotice(rows=tuple(rows))
--- a/src/arbutusstall/_systems/moving.py
+++ b/src/arbutusstall/_systems/moving.py
@@ -1,18 +1,18 @@
 """What moves in the configuration in force, indexed once a version."""
 
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import node
 
 
-def of(tables: node.Tables) -> evidence.Moving:
+def of(tables: node.Tables) -> comparisons.Moving:
     """Return the running rollouts and routes of the snapshot in force."""
     if tables.moving.snapshot is not tables.snapshot:
         tables.moving = _index(tables.snapshot)
     return tables.moving
 
 
-def _index(snapshot: agreed.Snapshot) -> evidence.Moving:
+def _index(snapshot: agreed.Snapshot) -> comparisons.Moving:
     rollouts = {
         rollout.service: rollout
         for rollout in snapshot.rollouts_by_id.values()
@@ -22,7 +22,7 @@
     for route in snapshot.routes_by_prefix.values():
         if route.service in routes:
             routes[route.service].append(route.prefix)
-    return evidence.Moving(
+    return comparisons.Moving(
         snapshot=snapshot,
         rollouts_by_service=rollouts,
         routes_by_service={
--- a/src/arbutusstall/_systems/evidence.py
+++ b/src/arbutusstall/_systems/observation.py
@@ -12,7 +12,7 @@
 from arbutusstall._systems import moving
 from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import node
 from arbutusstall._tables import outcomes
 
@@ -41,7 +41,7 @@
     if rollout is None or rollout.offset != key.rollout:
         return
     watch = tables.watches_by_rollout.setdefault(
-        rollout.rollout_id, evidence.Watch()
+        rollout.rollout_id, comparisons.Watch()
     )
     seen_s = watch.first_seen_s_by_row.setdefault(key, now.mono_s)
     warm = now.mono_s - seen_s >= tables.settings.rollout.warm_up_s
@@ -54,8 +54,8 @@
 
 def run(
     tables: node.Tables, now: _clock.Instant
-) -> list[evidence.LocalRollback]:
-    """Look at the counts that are due; return what they condemn."""
+) -> list[comparisons.LocalRollback]:
+    """Look at the counts that are due; return what they reject."""
     if not tables.is_root:
         return []
     running = {
@@ -65,10 +65,10 @@
     for rollout_id in list(tables.watches_by_rollout):
         if rollout_id not in running:
             del tables.watches_by_rollout[rollout_id]
-    found: list[evidence.LocalRollback] = []
+    found: list[comparisons.LocalRollback] = []
     for rollout in running.values():
         watch = tables.watches_by_rollout.setdefault(
-            rollout.rollout_id, evidence.Watch()
+            rollout.rollout_id, comparisons.Watch()
         )
         _enter(watch, rollout, now)
         if now.mono_s >= watch.next_look_s:
@@ -77,7 +77,7 @@
 
 
 def tolerance(
-    tables: node.Tables, rollout: agreed.Rollout, metric: evidence.Metric
+    tables: node.Tables, rollout: agreed.Rollout, metric: comparisons.Metric
 ) -> comparison.Tolerance:
     """Return the tolerance for one metric; the same at every node."""
     policy = tables.settings.rollout
@@ -89,7 +89,7 @@
         routes * _METRICS * len(shares.rising(rollout)),
         policy.false_rollbacks,
     )
-    errors = metric is evidence.Metric.ERRORS
+    errors = metric is comparisons.Metric.ERRORS
     return comparison.Tolerance(
         ratio=policy.error_ratio if errors else policy.slow_ratio,
         floor=policy.error_floor if errors else policy.slow_floor,
@@ -97,7 +97,7 @@
     )
 
 
-def call_s(watch: evidence.Watch) -> float:
+def call_s(watch: comparisons.Watch) -> float:
     """Return the longest mean duration of a call of any version."""
     counts_by_version: dict[str, outcomes.OutcomeCounts] = {}
     for (version, _), counts in watch.totals_by_cell.items():
@@ -109,7 +109,7 @@
     )
 
 
-def cold_since_s(watch: evidence.Watch, version: str, route: str) -> float:
+def cold_since_s(watch: comparisons.Watch, version: str, route: str) -> float:
     """Return when a version's warm-up on a route began.
 
     Until a call of it has ended and was reported, that is the time of
@@ -124,7 +124,7 @@
 
 
 def _enter(
-    watch: evidence.Watch, rollout: agreed.Rollout, now: _clock.Instant
+    watch: comparisons.Watch, rollout: agreed.Rollout, now: _clock.Instant
 ) -> None:
     """Begin a new stage when the shares in force changed."""
     if watch.step >= 0 and watch.progress == rollout.progress:
@@ -147,9 +147,9 @@
 def _look(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
-) -> list[evidence.LocalRollback]:
+) -> list[comparisons.LocalRollback]:
     _measure(tables, watch, now)
     found = []
     for route in sorted({route for _, route in watch.gathered_by_cell}):
@@ -165,7 +165,7 @@
     return found
 
 
-def _is_due(watch: evidence.Watch, route: str, now: _clock.Instant) -> bool:
+def _is_due(watch: comparisons.Watch, route: str, now: _clock.Instant) -> bool:
     """Tell whether a route has enough calls, or has waited for them.
 
     With few calls most short intervals would hold those of one version
@@ -183,18 +183,18 @@
 def _look_at_route(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     route: str,
-) -> list[evidence.LocalRollback]:
+) -> list[comparisons.LocalRollback]:
     found = []
     old_versions = shares.falling(rollout)
     old = _sum(watch.gathered_by_cell, old_versions, route)
     before = _sum(watch.totals_by_cell, old_versions, route)
-    recent = watch.recent_by_route.get(route, evidence.Recent())
+    recent = watch.recent_by_route.get(route, comparisons.Recent())
     for version in shares.rising(rollout):
         new = watch.gathered_by_cell.get((version, route), _NOTHING)
-        for metric in evidence.Metric:
-            key = evidence.DetectorKey(
+        for metric in comparisons.Metric:
+            key = comparisons.DetectorKey(
                 version=version, route=route, metric=metric
             )
             look = _look_at(metric, new, old, before)
@@ -203,13 +203,13 @@
             usual = max(
                 _rate(metric, before), recent.rate(metric, _USUAL_CALLS)
             )
-            if _condemns(tables, rollout, watch, key, look, usual):
+            if _rejects(tables, rollout, watch, key, look, usual):
                 found.append(_rollback(rollout, watch, key))
     watch.recent_by_route[route] = _newer(recent, old, before)
     return found
 
 
-def _close(watch: evidence.Watch, route: str) -> None:
+def _close(watch: comparisons.Watch, route: str) -> None:
     """Add what a look has used to the sums of the rollout."""
     used = [cell for cell in watch.gathered_by_cell if cell[1] == route]
     for cell in used:
@@ -221,7 +221,7 @@
 
 
 def _measure(
-    tables: node.Tables, watch: evidence.Watch, now: _clock.Instant
+    tables: node.Tables, watch: comparisons.Watch, now: _clock.Instant
 ) -> None:
     if watch.last_look_s:
         rate = watch.calls / max(now.mono_s - watch.last_look_s, 1e-3)
@@ -232,24 +232,24 @@
     watch.next_look_s = now.mono_s + tables.settings.rollout.look_s
 
 
-def _condemns(
+def _rejects(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
-    key: evidence.DetectorKey,
-    look: evidence.Look,
+    watch: comparisons.Watch,
+    key: comparisons.DetectorKey,
+    look: comparisons.Look,
     usual: float,
 ) -> bool:
     limit = tolerance(tables, rollout, key.metric)
-    known = watch.detectors_by_key.get(key, evidence.Detector())
+    known = watch.detectors_by_key.get(key, comparisons.Detector())
     detector = comparison.update(known, look, limit, usual)
     watch.detectors_by_key[key] = detector
     return comparison.is_bad(detector, limit)
 
 
 def _suspect(
-    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
-) -> evidence.DetectorKey | None:
+    tables: node.Tables, rollout: agreed.Rollout, watch: comparisons.Watch
+) -> comparisons.DetectorKey | None:
     for key, detector in watch.detectors_by_key.items():
         limit = tolerance(tables, rollout, key.metric)
         if comparison.is_suspect(detector, limit):
@@ -259,10 +259,10 @@
 
 def _rollback(
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
-    key: evidence.DetectorKey,
-) -> evidence.LocalRollback:
-    return evidence.LocalRollback(
+    watch: comparisons.Watch,
+    key: comparisons.DetectorKey,
+) -> comparisons.LocalRollback:
+    return comparisons.LocalRollback(
         rollout_id=rollout.rollout_id,
         version=key.version,
         route=key.route,
@@ -272,8 +272,8 @@
 
 
 def suspicion(
-    rollout: agreed.Rollout, watch: evidence.Watch
-) -> evidence.LocalRollback | None:
+    rollout: agreed.Rollout, watch: comparisons.Watch
+) -> comparisons.LocalRollback | None:
     """Return the rollback of the suspected version, if there is one."""
     if watch.suspected is None:
         return None
@@ -281,13 +281,13 @@
 
 
 def _look_at(
-    metric: evidence.Metric,
+    metric: comparisons.Metric,
     new: outcomes.OutcomeCounts,
     old: outcomes.OutcomeCounts,
     before: outcomes.OutcomeCounts,
-) -> evidence.Look | None:
-    if metric is evidence.Metric.ERRORS:
-        return evidence.Look(
+) -> comparisons.Look | None:
+    if metric is comparisons.Metric.ERRORS:
+        return comparisons.Look(
             new_calls=new.calls,
             new_bad=new.failures,
             old_calls=old.calls,
@@ -296,7 +296,7 @@
     bucket = _slow_bucket(before)
     if bucket is None:
         return None
-    return evidence.Look(
+    return comparisons.Look(
         new_calls=sum(new.durations),
         new_bad=new.slower_than(bucket),
         old_calls=sum(old.durations),
@@ -318,8 +318,8 @@
     return None
 
 
-def _rate(metric: evidence.Metric, before: outcomes.OutcomeCounts) -> float:
-    if metric is evidence.Metric.SLOW:
+def _rate(metric: comparisons.Metric, before: outcomes.OutcomeCounts) -> float:
+    if metric is comparisons.Metric.SLOW:
         return _SLOW_PART
     if before.calls < _USUAL_CALLS:
         return 0.0
@@ -327,10 +327,10 @@
 
 
 def _newer(
-    recent: evidence.Recent,
+    recent: comparisons.Recent,
     old: outcomes.OutcomeCounts,
     before: outcomes.OutcomeCounts,
-) -> evidence.Recent:
+) -> comparisons.Recent:
     if not old.calls:
         return recent
     bucket = _slow_bucket(before)
@@ -343,7 +343,7 @@
 
 
 def _sum(
-    counts_by_cell: abc.Mapping[evidence.Cell, outcomes.OutcomeCounts],
+    counts_by_cell: abc.Mapping[comparisons.Cell, outcomes.OutcomeCounts],
     versions: abc.Iterable[str],
     route: str,
 ) -> outcomes.OutcomeCounts:
@@ -356,8 +356,8 @@
 
 
 def _add(
-    counts_by_cell: dict[evidence.Cell, outcomes.OutcomeCounts],
-    cell: evidence.Cell,
+    counts_by_cell: dict[comparisons.Cell, outcomes.OutcomeCounts],
+    cell: comparisons.Cell,
     added: outcomes.OutcomeCounts,
 ) -> None:
     known = counts_by_cell.get(cell)
--- a/src/arbutusstall/_systems/outcomes.py
+++ b/src/arbutusstall/_systems/outcomes.py
@@ -9,8 +9,8 @@
 
 from arbutusstall import _clock
 from arbutusstall import _effects
-from arbutusstall._systems import evidence
 from arbutusstall._systems import moving
+from arbutusstall._systems import observation
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import outcomes
@@ -115,7 +115,7 @@
     tables.outcomes_by_key[row.key] = row.counts
     tables.outcome_news[row.key] = source
     if tables.is_root:
-        evidence.gather(tables, row.key, added, now)
+        observation.gather(tables, row.key, added, now)
 
 
 def _forget(tables: node.Tables) -> None:
--- a/src/arbutusstall/_systems/progress.py
+++ b/src/arbutusstall/_systems/progress.py
@@ -142,7 +142,7 @@
 def _all_linked(tables: node.Tables, centre: str) -> bool:
     roots = [
         root
-        for root in tables.agreed.roots_by_seat.values()
+        for root in tables.agreed.roots_by_key.values()
         if root.data_centre == centre
     ]
     return bool(roots) and all(
--- a/src/arbutusstall/_systems/revocation.py
+++ b/src/arbutusstall/_systems/revocation.py
@@ -108,12 +108,12 @@
         """End a call that was queued or whose target got no byte."""
         entry = self._active_by_id.pop(call_id, None)
         if entry is not None:
-            self._bury(call_id, entry.sent_ms, now_ms)
+            self._add_tombstone(call_id, entry.sent_ms, now_ms)
 
     def turn_away(self, ticket: Ticket, now_ms: int) -> None:
         """Make sure that a call that is refused now never starts."""
         if not self._refusal(ticket, now_ms):
-            self._bury(ticket.call_id, ticket.sent_ms, now_ms)
+            self._add_tombstone(ticket.call_id, ticket.sent_ms, now_ms)
 
     def finish(
         self, call_id: str, answer: messages.CallAnswer, now_ms: int
@@ -145,10 +145,10 @@
             if now_ms - ticket.sent_ms > self._limits.horizon_ms:
                 # Its entry may have expired; it may have run.
                 return messages.RevokeState.UNKNOWN
-            return self._bury(ticket.call_id, ticket.sent_ms, now_ms)
+            return self._add_tombstone(ticket.call_id, ticket.sent_ms, now_ms)
         if entry.state is calls.CallState.QUEUED:
             del self._active_by_id[ticket.call_id]
-            return self._bury(ticket.call_id, entry.sent_ms, now_ms)
+            return self._add_tombstone(ticket.call_id, entry.sent_ms, now_ms)
         return _REVOKE_STATES[entry.state]
 
     def expire(self, now_ms: int) -> None:
@@ -175,7 +175,7 @@
             return TOO_OLD
         return ""
 
-    def _bury(
+    def _add_tombstone(
         self, call_id: str, sent_ms: int, now_ms: int
     ) -> messages.RevokeState:
         self._keep(
--- a/src/arbutusstall/_systems/rollout.py
+++ b/src/arbutusstall/_systems/rollout.py
@@ -1,7 +1,7 @@
 """Moves traffic between versions while the outcomes allow it.
 
 The leader alone decides, one step at a time; the other roots keep the
-same evidence and go on from the agreed state when they take over.
+same counts and go on from the agreed state when they take over.
 """
 
 from arbutusstall import _clock
@@ -9,17 +9,17 @@
 from arbutusstall._log import records
 from arbutusstall._systems import capacity
 from arbutusstall._systems import comparison
-from arbutusstall._systems import evidence as evidence_system
 from arbutusstall._systems import lease
 from arbutusstall._systems import local_rollback
 from arbutusstall._systems import moving
+from arbutusstall._systems import observation
 from arbutusstall._systems import plan
 from arbutusstall._systems import shares
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import node
 
-HELD_BY_EVIDENCE = "evidence"
+HELD_BY_OUTCOMES = "outcomes"
 HELD_BY_CAPACITY = "capacity"
 HELD_BY_ENDPOINTS = "endpoints"
 HELD_BY_LOG = "log"
@@ -36,9 +36,9 @@
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
     """Compare the versions of running rollouts and decide on each."""
     effects: list[_effects.Effect] = []
-    for row in evidence_system.run(tables, now):
+    for row in observation.run(tables, now):
         effects += local_rollback.begin(tables, row, now)
-    effects += _condemn_again(tables, now)
+    effects += _reject_again(tables, now)
     effects += local_rollback.run(tables, now)
     if not tables.is_root:
         return effects
@@ -56,7 +56,7 @@
     return effects
 
 
-def _condemn_again(
+def _reject_again(
     tables: node.Tables, now: _clock.Instant
 ) -> list[_effects.Effect]:
     """Roll back versions that are suspected again after a comparison.
@@ -69,7 +69,7 @@
         watch = tables.watches_by_rollout.get(rollout.rollout_id)
         if watch is None or not watch.probes:
             continue
-        row = evidence_system.suspicion(rollout, watch)
+        row = observation.suspicion(rollout, watch)
         if row is not None:
             effects += local_rollback.begin(tables, row, now)
     return effects
@@ -78,11 +78,11 @@
 def _act_unanswered(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Roll back a version whose share the log did not lower to compare."""
-    row = evidence_system.suspicion(rollout, watch)
+    row = observation.suspicion(rollout, watch)
     if row is None or now.mono_s - watch.suspected_s < _UNANSWERED_S:
         return []
     return local_rollback.begin(tables, row, now)
@@ -91,7 +91,7 @@
 def _lead(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     due_s = tables.next_step_s_by_rollout.get(_step_id(rollout), 0.0)
@@ -109,7 +109,7 @@
 def _decide(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> list[records.Record]:
     bad = _rolled_back(tables, rollout)
@@ -120,12 +120,12 @@
                 rollout,
                 done=False,
                 reason="; ".join(row.reason for row in bad),
-                condemned=tuple(sorted({row.version for row in bad})),
+                rejected=tuple(sorted({row.version for row in bad})),
             )
         ]
     probe = tables.settings.rollout.probe_percent / 100.0
     if watch.suspected is not None and rollout.progress > probe:
-        held_by = _or_late(rollout, HELD_BY_EVIDENCE, now)
+        held_by = _or_late(rollout, HELD_BY_OUTCOMES, now)
         return [_shares(tables, rollout, probe, held_by)]
     stage = _next_stage(tables, rollout, watch)
     if stage is None:
@@ -143,7 +143,7 @@
 
 
 def _next_stage(
-    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+    tables: node.Tables, rollout: agreed.Rollout, watch: comparisons.Watch
 ) -> plan.Stage | None:
     policy = tables.settings.rollout
     return plan.next_stage(
@@ -159,14 +159,14 @@
 def _finish(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> list[records.Record]:
     """Give the verdict after the goal was in force for a while."""
     if now.mono_s - watch.entered_s < tables.settings.rollout.watch_s:
         return []
     if not _is_sound(tables, rollout, watch):
-        return _note_hold(tables, rollout, watch, HELD_BY_EVIDENCE, now)
+        return _note_hold(tables, rollout, watch, HELD_BY_OUTCOMES, now)
     late_s = watch.entered_wall_s - rollout.by_s
     on_time = late_s <= _LATE_S or rollout.by_s <= rollout.started_s
     reason = "goal reached" if on_time else f"goal reached {late_s:.0f} s late"
@@ -180,7 +180,7 @@
     ]
 
 
-def _summary(rollout: agreed.Rollout, watch: evidence.Watch) -> str:
+def _summary(rollout: agreed.Rollout, watch: comparisons.Watch) -> str:
     rises = shares.rising(rollout)
     cells = watch.totals_by_cell.items()
     calls = sum(row.calls for cell, row in cells if cell[0] in rises)
@@ -191,7 +191,7 @@
 def _held_by(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     progress: float,
     now: _clock.Instant,
 ) -> str:
@@ -207,16 +207,16 @@
         _is_sound(tables, rollout, watch)
         and _is_enough(tables, rollout, watch, now)
     ):
-        return HELD_BY_EVIDENCE
+        return HELD_BY_OUTCOMES
     return ""
 
 
 def _most_progress(
-    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+    tables: node.Tables, rollout: agreed.Rollout, watch: comparisons.Watch
 ) -> float:
     """Return how far the serving endpoints can carry the rollout."""
     most = 1.0
-    call_s = evidence_system.call_s(watch)
+    call_s = observation.call_s(watch)
     for version in shares.rising(rollout):
         percent = capacity.most_percent(
             capacity.of_version(tables, rollout.service, version),
@@ -231,11 +231,11 @@
 
 
 def _is_sound(
-    tables: node.Tables, rollout: agreed.Rollout, watch: evidence.Watch
+    tables: node.Tables, rollout: agreed.Rollout, watch: comparisons.Watch
 ) -> bool:
     """Tell whether no comparison points at a bad version."""
     for key, detector in watch.detectors_by_key.items():
-        limit = evidence_system.tolerance(tables, rollout, key.metric)
+        limit = observation.tolerance(tables, rollout, key.metric)
         worry = limit.threshold * _SOUND_PART
         if min(detector.relative, detector.absolute) >= worry:
             return False
@@ -247,7 +247,7 @@
 def _is_enough(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> bool:
     """Tell whether each route was seen well enough at this share."""
@@ -260,7 +260,7 @@
         for version in shares.rising(rollout):
             expected = total * current[version] / 100.0
             seen = calls.get((version, route), 0)
-            cold_s = evidence_system.cold_since_s(watch, version, route)
+            cold_s = observation.cold_since_s(watch, version, route)
             warm_s = now.mono_s - cold_s - tables.settings.rollout.warm_up_s
             waited_s = min(stage_s, warm_s)
             if not _is_seen(
@@ -304,7 +304,7 @@
 def _note_hold(
     tables: node.Tables,
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     held_by: str,
     now: _clock.Instant,
 ) -> list[records.Record]:
@@ -343,7 +343,7 @@
 
 def _stand_still(
     rollout: agreed.Rollout,
-    watch: evidence.Watch,
+    watch: comparisons.Watch,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Say once that the log holds the rollout."""
@@ -361,7 +361,7 @@
 
 def _rolled_back(
     tables: node.Tables, rollout: agreed.Rollout
-) -> list[evidence.LocalRollback]:
+) -> list[comparisons.LocalRollback]:
     return [
         row
         for (rollout_id, _), row in sorted(tables.rollbacks_by_version.items())
@@ -405,7 +405,7 @@
     rollout: agreed.Rollout,
     done: bool,
     reason: str,
-    condemned: tuple[str, ...] = (),
+    rejected: tuple[str, ...] = (),
 ) -> records.Verdict:
     return records.Verdict(
         record_id=f"verdict/{_record_id(tables, rollout)}",
@@ -413,7 +413,7 @@
         rollout_id=rollout.rollout_id,
         done=done,
         reason=reason,
-        condemned=condemned,
+        rejected=rejected,
     )
 
 
--- a/src/arbutusstall/_systems/seats.py
+++ b/src/arbutusstall/_systems/root_claims.py
@@ -1,7 +1,7 @@
-"""Fills the root seats of the own data centre through the log.
+"""Fills the root positions of the own data centre through the log.
 
-A seat's holder renews it. Its silence is measured only while the log
-answers, so that an outage of the log costs nobody a seat.
+A position's holder renews it. Its silence is measured only while the log
+answers, so that an outage of the log costs nobody a position.
 """
 
 import math
@@ -25,7 +25,7 @@
 def on_read(
     tables: node.Tables, event: _effects.LogRead, now: _clock.Instant
 ) -> None:
-    """Measure how long each seat has not been renewed."""
+    """Measure how long each position has not been renewed."""
     state = tables.relay
     elapsed_s = 0.0
     if state.log_read_s:
@@ -35,12 +35,12 @@
         )
     state.log_read_s = now.mono_s
     state.log_failed = False
-    for key, root in tables.agreed.roots_by_seat.items():
-        if state.renewed_by_seat.get(key) != root.renewed:
-            state.renewed_by_seat[key] = root.renewed
-            state.age_s_by_seat[key] = 0.0
+    for key, root in tables.agreed.roots_by_key.items():
+        if state.renewed_by_root.get(key) != root.renewed:
+            state.renewed_by_root[key] = root.renewed
+            state.age_s_by_root[key] = 0.0
         else:
-            state.age_s_by_seat[key] += elapsed_s
+            state.age_s_by_root[key] += elapsed_s
 
 
 def on_failed(
@@ -52,11 +52,11 @@
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    """Renew the own seat, step down from a lost one, or claim one."""
+    """Renew the own position, step down from a lost one, or claim one."""
     if tables.relay.leaving:
-        # The seat was given back; the children still stream from here.
+        # The position was given back; the children still stream from here.
         return []
-    own = _own_seat(tables)
+    own = _own_root(tables)
     if own is None and tables.is_root:
         return _step_down(tables)
     if own is not None:
@@ -66,15 +66,15 @@
     return _claim_vacant(tables, now)
 
 
-def vacant(tables: node.Tables) -> tuple[relay.VacantSeat, ...]:
-    """Return the seats of the own data centre without a live holder."""
+def vacant(tables: node.Tables) -> tuple[relay.VacantRoot, ...]:
+    """Return the positions of the own data centre without a live holder."""
     found = []
-    for seat in range(tables.settings.relay.roots):
-        key = agreed.seat_key(tables.member.data_centre, seat)
-        root = tables.agreed.roots_by_seat.get(key)
+    for position in range(tables.settings.relay.roots):
+        key = agreed.root_key(tables.member.data_centre, position)
+        root = tables.agreed.roots_by_key.get(key)
         renewed = root.renewed if root else agreed.NO_OFFSET
         if root is None or _lapsed(tables, key, root):
-            found.append(relay.VacantSeat(seat=seat, renewed=renewed))
+            found.append(relay.VacantRoot(position=position, renewed=renewed))
     return tuple(found)
 
 
@@ -85,7 +85,7 @@
         return list(state.roots)
     return [
         root
-        for root in tables.agreed.roots_by_seat.values()
+        for root in tables.agreed.roots_by_key.values()
         if root.data_centre == tables.member.data_centre
     ]
 
@@ -122,16 +122,16 @@
 
 
 def release(tables: node.Tables) -> list[_effects.Effect]:
-    """Give the own seat back because the node stops."""
-    own = _own_seat(tables)
+    """Give the own position back because the node stops."""
+    own = _own_root(tables)
     if own is None:
         return []
     return [_renewal(tables, own, released=True)]
 
 
-def _own_seat(tables: node.Tables) -> agreed.Root | None:
+def _own_root(tables: node.Tables) -> agreed.Root | None:
     name = tables.member.node
-    for root in tables.agreed.roots_by_seat.values():
+    for root in tables.agreed.roots_by_key.values():
         if root.node == name:
             return root
     return None
@@ -147,14 +147,14 @@
     effects: list[_effects.Effect] = [
         _effects.Disconnect(peer=peer) for peer in peers
     ]
-    return [_effects.Emit(event="root-seat-lost"), *effects]
+    return [_effects.Emit(event="root-role-lost"), *effects]
 
 
 def _hold(
     tables: node.Tables, own: agreed.Root, now: _clock.Instant
 ) -> list[_effects.Effect]:
     if own.incarnation != tables.member.incarnation:
-        # The seat is from before a restart; its addresses may be old.
+        # The position is from before a restart; its addresses may be old.
         return _retake(tables, own, now)
     effects: list[_effects.Effect] = []
     if not tables.is_root:
@@ -162,7 +162,7 @@
             return []
         effects += _become_root(tables, own)
     if now.mono_s >= tables.next_root_record_s:
-        wait_s = tables.settings.relay.seat_renew_s
+        wait_s = tables.settings.relay.root_renew_s
         wait_s *= 1.0 - _JITTER * tables.rng.random()
         tables.next_root_record_s = now.mono_s + wait_s
         effects.append(_renewal(tables, own, released=False))
@@ -175,7 +175,7 @@
     if not tables.caught_up or now.mono_s < tables.next_root_record_s:
         return []
     tables.next_root_record_s = now.mono_s + _CLAIM_RETRY_S
-    return [_claim(tables, own.seat, own.offset)]
+    return [_claim(tables, own.position, own.offset)]
 
 
 def _become_root(
@@ -191,7 +191,9 @@
     tables.attaching_to = ""
     tables.spread.alive_s_by_node.clear()
     effects: list[_effects.Effect] = [
-        _effects.Emit(event="root-seat-taken", fields={"seat": own.seat})
+        _effects.Emit(
+            event="root-role-taken", fields={"position": own.position}
+        )
     ]
     for link in list(tables.links_by_peer.values()):
         if link.role is links.LinkRole.PARENT:
@@ -203,16 +205,16 @@
 def _lapsed(tables: node.Tables, key: str, root: agreed.Root) -> bool:
     if root.node == tables.member.node:
         return False
-    told = {seat.renewed for seat in tables.relay.vacant}
+    told = {root.renewed for root in tables.relay.vacant}
     if root.renewed in told:
         return True
-    limit_s = tables.settings.relay.seat_expire_s
+    limit_s = tables.settings.relay.root_expire_s
     if root.node not in tables.links_by_peer and (
         root.address in tables.relay.retry_s_by_address
     ):
         # It could not be reached either; two missed renewals suffice.
         limit_s /= 2
-    return tables.relay.age_s_by_seat.get(key, 0.0) > limit_s
+    return tables.relay.age_s_by_root.get(key, 0.0) > limit_s
 
 
 def _may_claim(tables: node.Tables) -> bool:
@@ -248,12 +250,14 @@
     if now.mono_s < state.claim_due_s:
         return []
     state.claim_due_s = now.mono_s + _CLAIM_RETRY_S + _claim_delay_s(tables)
-    by_name = {str(seat.seat): seat for seat in vacant(tables)}
-    seat = by_name[rendezvous.order(tables.member.node, by_name)[0]].seat
-    key = agreed.seat_key(tables.member.data_centre, seat)
-    root = tables.agreed.roots_by_seat.get(key)
+    by_name = {str(root.position): root for root in vacant(tables)}
+    position = by_name[
+        rendezvous.order(tables.member.node, by_name)[0]
+    ].position
+    key = agreed.root_key(tables.member.data_centre, position)
+    root = tables.agreed.roots_by_key.get(key)
     replaces = root.offset if root else agreed.NO_OFFSET
-    return [_claim(tables, seat, replaces)]
+    return [_claim(tables, position, replaces)]
 
 
 def _claim_delay_s(tables: node.Tables) -> float:
@@ -263,7 +267,9 @@
     return _CLAIM_WINDOW_S * (1.0 + math.log(draw) / math.log(_MAX_CLAIMANTS))
 
 
-def _claim(tables: node.Tables, seat: int, replaces: int) -> _effects.Append:
+def _claim(
+    tables: node.Tables, position: int, replaces: int
+) -> _effects.Append:
     own = tables.member
     tables.relay.claims += 1
     name = f"{own.node}/{own.incarnation}/{tables.relay.claims}"
@@ -276,7 +282,7 @@
             address=own.relay,
             admin=tables.settings.advertise.admin
             or tables.settings.addresses.admin,
-            seat=seat,
+            position=position,
             replaces=replaces,
         )
     )
@@ -291,7 +297,7 @@
         record=records.RootRenewal(
             record_id=f"root-renewal/{name}",
             data_centre=own.data_centre,
-            seat=own.seat,
+            position=own.position,
             claim=own.offset,
             released=released,
         )
--- a/src/arbutusstall/_systems/shares.py
+++ b/src/arbutusstall/_systems/shares.py
@@ -55,9 +55,9 @@
 
 
 def rolled_back(
-    rollout: agreed.Rollout, condemned: abc.Collection[str]
+    rollout: agreed.Rollout, rejected: abc.Collection[str]
 ) -> Percents:
-    """Return the start shares without the condemned versions.
+    """Return the start shares without the rejected versions.
 
     What those carried at the start is spread over the others in
     proportion. A falling version always remains.
@@ -65,7 +65,7 @@
     kept = {
         version: percent
         for version, percent in rollout.start.items()
-        if version not in condemned and percent > 0.0
+        if version not in rejected and percent > 0.0
     }
     total = sum(kept.values())
     if total <= 0.0:
@@ -76,21 +76,21 @@
 
 
 def override(
-    snapshot: agreed.Snapshot, condemned: abc.Collection[tuple[str, str]]
+    snapshot: agreed.Snapshot, rejected: abc.Collection[tuple[str, str]]
 ) -> agreed.Snapshot:
     """Return the snapshot with versions of running rollouts rolled back.
 
     Args:
-        condemned: Rollout ids and versions that get no traffic.
+        rejected: Rollout ids and versions that get no traffic.
     """
-    if not condemned:
+    if not rejected:
         return snapshot
     changed = dict(snapshot.shares_by_service)
-    for rollout_id in {rollout_id for rollout_id, _ in condemned}:
+    for rollout_id in {rollout_id for rollout_id, _ in rejected}:
         rollout = snapshot.rollouts_by_id.get(rollout_id)
         if rollout is None or rollout.state is not agreed.RolloutState.RUNNING:
             continue
-        versions = {name for key, name in condemned if key == rollout_id}
+        versions = {name for key, name in rejected if key == rollout_id}
         changed[rollout.service] = agreed.Shares(
             service=rollout.service,
             percent_by_version=rolled_back(rollout, versions),
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -13,8 +13,8 @@
 from arbutusstall._systems import distribution
 from arbutusstall._systems import membership
 from arbutusstall._systems import progress
+from arbutusstall._systems import root_claims
 from arbutusstall._systems import rows
-from arbutusstall._systems import seats
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import relay
@@ -77,7 +77,7 @@
         membership.digest(tables, peer, reply=True),
     ]
     if role is links.LinkRole.CHILD:
-        effects.append(_effects.Send(peer=peer, message=_seats(tables)))
+        effects.append(_effects.Send(peer=peer, message=_roots_update(tables)))
         effects += distribution.hand_to(tables, peer)
     if message.version > tables.snapshot.version:
         effects += distribution.ask(tables, peer, now)
@@ -168,13 +168,13 @@
     return effects
 
 
-def on_seats(
+def on_roots(
     tables: node.Tables,
     peer: str,
-    message: messages.SeatsUpdate,
+    message: messages.RootsUpdate,
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
-    """Keep the root seats that the parent tells, and pass them on."""
+    """Keep the root positions that the parent tells, and pass them on."""
     state = tables.relay
     same = (state.roots, state.vacant) == (message.roots, message.vacant)
     if tables.is_root or same:
@@ -182,7 +182,7 @@
     state.roots = message.roots
     state.vacant = message.vacant
     effects = _to_children(tables, message)
-    return effects + seats.on_vacant(tables)
+    return effects + root_claims.on_vacant(tables)
 
 
 def on_lost(
@@ -214,7 +214,7 @@
 def on_left(
     tables: node.Tables, event: _effects.Left, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Hand the children and the seat over if the whole node stops."""
+    """Hand the children and the position over if the whole node stops."""
     if not event.stopping:
         return []
     tables.relay.leaving = True
@@ -224,29 +224,29 @@
         others=admit.other_parents(tables),
         local_size=admit.local_size(tables),
     )
-    return seats.release(tables) + _to_children(tables, refusal)
+    return root_claims.release(tables) + _to_children(tables, refusal)
 
 
 def on_log_failed(
     tables: node.Tables, event: _effects.LogFailed, now: _clock.Instant
 ) -> list[_effects.Effect]:
     """Draw no conclusion from silence while the log is out."""
-    seats.on_failed(tables, event, now)
+    root_claims.on_failed(tables, event, now)
     return []
 
 
 def on_log_read(
     tables: node.Tables, event: _effects.LogRead, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Watch the seats; at a root, tell the children of changes."""
-    seats.on_read(tables, event, now)
-    claims = frozenset(root.offset for root in seats.local_roots(tables))
+    """Watch the positions; at a root, tell the children of changes."""
+    root_claims.on_read(tables, event, now)
+    claims = frozenset(root.offset for root in root_claims.local_roots(tables))
     if claims - tables.relay.roots_seen:
         attach.start_over(tables, now)
     tables.relay.roots_seen = claims
     if not tables.is_root:
         return []
-    update = _seats(tables)
+    update = _roots_update(tables)
     state = tables.relay
     if (state.roots, state.vacant) == (update.roots, update.vacant):
         return []
@@ -356,18 +356,18 @@
     )
 
 
-def _seats(tables: node.Tables) -> messages.SeatsUpdate:
+def _roots_update(tables: node.Tables) -> messages.RootsUpdate:
     if not tables.is_root:
-        return messages.SeatsUpdate(
+        return messages.RootsUpdate(
             roots=tables.relay.roots, vacant=tables.relay.vacant
         )
     # Renewals are left out: they would be news every few seconds.
-    vacant = seats.vacant(tables)
+    vacant = root_claims.vacant(tables)
     roots = tuple(
         dataclasses.replace(root, renewed=root.offset)
-        for root in seats.local_roots(tables)
+        for root in root_claims.local_roots(tables)
     )
-    return messages.SeatsUpdate(roots=roots, vacant=vacant)
+    return messages.RootsUpdate(roots=roots, vacant=vacant)
 
 
 def _to_children(
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -73,11 +73,11 @@
         step: Number of share decisions so far.
         progress: Part of the way from start to goal, 0 to 1.
         held_by: What keeps a running rollout behind its plan:
-            ``evidence``, ``capacity``, ``endpoints`` or empty, followed
+            ``outcomes``, ``capacity``, ``endpoints`` or empty, followed
             by ``late`` once its time has passed. While the log is out
             nothing can be agreed; nodes then say ``log`` in their
             events.
-        condemned: Versions that the verdict blocked.
+        rejected: Versions that the verdict blocked.
         offset: Log offset of the release record.
     """
 
@@ -93,7 +93,7 @@
     step: int = 0
     progress: float = 0.0
     held_by: str = ""
-    condemned: tuple[str, ...] = ()
+    rejected: tuple[str, ...] = ()
     offset: int = NO_OFFSET
 
 
@@ -147,8 +147,8 @@
     """A root relay that reads the log for its data centre.
 
     Attributes:
-        incarnation: Of the node process that claimed the seat.
-        seat: Number of the seat within the data centre.
+        incarnation: Of the node process that claimed the position.
+        position: Number of the position within the data centre.
         offset: Log offset of the accepted claim.
         renewed: Log offset of the newest claim or renewal.
     """
@@ -158,14 +158,14 @@
     address: str
     admin: str
     incarnation: int
-    seat: int
+    position: int
     offset: int
     renewed: int
 
 
-def seat_key(data_centre: str, seat: int) -> str:
-    """Return the key of a root seat."""
-    return f"{data_centre}/{seat}"
+def root_key(data_centre: str, position: int) -> str:
+    """Return the key of a root position."""
+    return f"{data_centre}/{position}"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -240,7 +240,7 @@
         default_factory=dict
     )
     lease: Lease = dataclasses.field(default_factory=Lease)
-    roots_by_seat: abc.Mapping[str, Root] = dataclasses.field(
+    roots_by_key: abc.Mapping[str, Root] = dataclasses.field(
         default_factory=dict
     )
     forgotten_to: int = NO_OFFSET
--- a/src/arbutusstall/_tables/evidence.py
+++ b/src/arbutusstall/_tables/comparisons.py
@@ -49,9 +49,9 @@
     """Sequential comparison of a version with those it replaces.
 
     Attributes:
-        relatives: Log evidence that the version is worse than the old
+        relatives: Log e-value that the version is worse than the old
             ones at the same time, one for each degree of badness.
-        absolutes: Log evidence that it is worse than the tolerated
+        absolutes: Log e-value that it is worse than the tolerated
             rate, likewise.
         looks: The newest looks, oldest first.
     """
@@ -62,12 +62,12 @@
 
     @property
     def relative(self) -> float:
-        """Log of the mean evidence over the degrees of badness."""
+        """Log of the mean e-value over the degrees of badness."""
         return _log_mean(self.relatives)
 
     @property
     def absolute(self) -> float:
-        """Log of the mean evidence over the degrees of badness."""
+        """Log of the mean e-value over the degrees of badness."""
         return _log_mean(self.absolutes)
 
 
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -8,7 +8,7 @@
 from arbutusstall._log import follower as log_follower
 from arbutusstall._log import records
 from arbutusstall._tables import agreed as agreed_tables
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
@@ -41,7 +41,7 @@
             empty for the own inbound proxy.
         reported_to: Peers that have all rows but those.
         moving: Index of what moves, see `_systems.moving`.
-        watches_by_rollout: Evidence on running rollouts, at roots.
+        watches_by_rollout: Outcome counts of running rollouts, at roots.
         rollbacks_by_version: Local rollbacks by rollout id and version.
         rollbacks_told: Peers that know of all local rollbacks.
     """
@@ -91,13 +91,13 @@
     )
     reported_to: set[str] = dataclasses.field(default_factory=set)
     next_outcome_report_s: float = 0.0
-    moving: evidence.Moving = dataclasses.field(
-        default_factory=evidence.Moving
+    moving: comparisons.Moving = dataclasses.field(
+        default_factory=comparisons.Moving
     )
-    watches_by_rollout: dict[str, evidence.Watch] = dataclasses.field(
+    watches_by_rollout: dict[str, comparisons.Watch] = dataclasses.field(
         default_factory=dict
     )
-    rollbacks_by_version: dict[tuple[str, str], evidence.LocalRollback] = (
+    rollbacks_by_version: dict[tuple[str, str], comparisons.LocalRollback] = (
         dataclasses.field(default_factory=dict)
     )
     rollbacks_told: set[str] = dataclasses.field(default_factory=set)
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -10,21 +10,21 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VacantSeat:
-    """A root seat whose holder is gone.
+class VacantRoot:
+    """A root position whose holder is gone.
 
     Attributes:
-        seat: Number of the seat within the data centre.
+        position: Number of the position within the data centre.
         renewed: Log offset of its last claim or renewal, -1 if none.
     """
 
-    seat: int
+    position: int
     renewed: int
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RelayTable:
-    """What the tree and seat systems keep; changed only by them.
+    """What the tree and position systems keep; changed only by them.
 
     Attributes:
         follows_log: Whether this node reads the log now.
@@ -43,12 +43,12 @@
         wanted_s_by_peer: When a whole snapshot was last asked for.
         local_size: Members of the own data centre, as last heard.
         roots: Root relays of the own data centre, told by the parent.
-        vacant: Vacant seats of the own data centre, told by the parent.
+        vacant: Vacant positions of the own data centre, told by the parent.
         log_read_s: When the log last answered; 0 after a failure.
-        age_s_by_seat: Observed time since each seat's last renewal.
-        renewed_by_seat: The renewal that each age counts from.
-        claim_due_s: When to claim a vacant seat; 0 if none is planned.
-        candidate: Whether this node reads the log only to claim a seat.
+        age_s_by_root: Observed time since each position's last renewal.
+        renewed_by_root: The renewal that each age counts from.
+        claim_due_s: When to claim a vacant position; 0 if none is planned.
+        candidate: Whether this node reads the log only to claim a position.
         roots_seen: Claims of the own data centre that were folded last.
         log_failed: Whether the log's last answer was a failure.
         claims: Claims and renewals that this process has sent.
@@ -77,10 +77,10 @@
     )
     local_size: int = 1
     roots: tuple[agreed.Root, ...] = ()
-    vacant: tuple[VacantSeat, ...] = ()
+    vacant: tuple[VacantRoot, ...] = ()
     log_read_s: float = 0.0
-    age_s_by_seat: dict[str, float] = dataclasses.field(default_factory=dict)
-    renewed_by_seat: dict[str, int] = dataclasses.field(default_factory=dict)
+    age_s_by_root: dict[str, float] = dataclasses.field(default_factory=dict)
+    renewed_by_root: dict[str, int] = dataclasses.field(default_factory=dict)
     claim_due_s: float = 0.0
     candidate: bool = False
     roots_seen: frozenset[int] = frozenset()
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -13,7 +13,7 @@
 
 from arbutusstall import errors
 from arbutusstall._tables import agreed
-from arbutusstall._tables import evidence
+from arbutusstall._tables import comparisons
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
 from arbutusstall._tables import relay
@@ -88,11 +88,11 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SeatsUpdate:
-    """The root seats of the data centre, on their way down."""
+class RootsUpdate:
+    """The root positions of the data centre, on their way down."""
 
     roots: tuple[agreed.Root, ...]
-    vacant: tuple[relay.VacantSeat, ...] = ()
+    vacant: tuple[relay.VacantRoot, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -187,9 +187,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RollbackNotice:
-    """Versions that the sender gives no traffic, with the evidence."""
+    """Versions that the sender gives no traffic, with the counts."""
 
-    rows: tuple[evidence.LocalRollback, ...]
+    rows: tuple[comparisons.LocalRollback, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -394,7 +394,7 @@
     | SnapshotUpdate
     | MemberUpdate
     | Heartbeat
-    | SeatsUpdate
+    | RootsUpdate
     | SnapshotDelta
     | SnapshotWanted
     | MemberDigest
@@ -420,7 +420,7 @@
     "snapshot": SnapshotUpdate,
     "members": MemberUpdate,
     "heartbeat": Heartbeat,
-    "seats": SeatsUpdate,
+    "roots": RootsUpdate,
     "delta": SnapshotDelta,
     "snapshot-wanted": SnapshotWanted,
     "member-digest": MemberDigest,
@@ -456,7 +456,7 @@
     SnapshotUpdate,
     SnapshotDelta,
     MemberUpdate,
-    SeatsUpdate,
+    RootsUpdate,
     Alive,
     OutcomeReport,
 )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -171,7 +171,7 @@
 
 
 def settled(made: driver.Driver, roots: int) -> bool:
-    """Tell whether all seats are held and all nodes are attached."""
+    """Tell whether all positions are held and all nodes are attached."""
     tables = [core.tables for core in made.cores_by_name.values()]
     return len(made.roots()) == roots and all(
         table.relay.attached for table in tables
