--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -92,7 +92,7 @@
 
 
 @behave.then("nobody lost a position that it had taken")
-def no_seat_lost(context):
+def no_root_lost(context):
     """Check that no claim replaced a newer one."""
     lost = [
         name
@@ -255,13 +255,13 @@
 
 
 @behave.then("all positions are held again within {limit:d} seconds")
-def seats_held(context, limit):
+def roots_held(context, limit):
     """Wait for all positions and links."""
     fleet.wait(context.fleet, lambda: _settled(context), limit)
 
 
 @behave.then("no position changes hands for {seconds:d} seconds")
-def seats_kept(context, seconds):
+def roots_kept(context, seconds):
     """Compare the holders before and after."""
     before = sorted(context.fleet.roots())
     begin_s = context.fleet.now_s
