--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -29,7 +29,7 @@
 _FRAME = """\
 # Measurements
 
-Written by `make bench-full`. Each table names the command that gives
+Written by `{command}`. Each table names the command that gives
 it; figures include their spread over seeds or repetitions. Bounds come
 from the stated target, not from what was measured.
 
@@ -45,7 +45,11 @@
     parser.add_argument("--write", type=pathlib.Path)
     arguments = parser.parse_args()
     sections = [
-        _FRAME.format(cores=os.cpu_count(), python=platform.python_version())
+        _FRAME.format(
+            command=" ".join(["benchmarks/run.py", *sys.argv[1:]]),
+            cores=os.cpu_count(),
+            python=platform.python_version(),
+        )
     ]
     missed = 0
     for name in MODULES:
@@ -53,8 +57,9 @@
         print(section, flush=True)
         sections.append(section)
         missed += not holds
-    if arguments.write:
-        arguments.write.write_text("\n".join(sections))
+        # Written each time, so that a run that is ended leaves its part.
+        if arguments.write:
+            arguments.write.write_text("\n".join(sections))
     print(f"{len(MODULES) - missed} benchmarks hold, {missed} do not")
     return 1 if missed else 0
 
@@ -67,7 +72,8 @@
     except Exception:
         reason = traceback.format_exc()
         return f"## {name}\n\nBroke off:\n\n```\n{reason}```\n", False
-    return result.markdown(), result.ok
+    load = f"\nLoad average at the end: {os.getloadavg()[0]:.1f}.\n"
+    return result.markdown() + load, result.ok
 
 
 if __name__ == "__main__":
--- a/src/arbutusstall/_shell/dispatch.py
+++ b/src/arbutusstall/_shell/dispatch.py
@@ -120,7 +120,7 @@
             fingerprint=_fingerprint(call),
         )
         attempt = attempts.Attempt(
-            fate=attempts.Fate.NOT_RUN, reason=NO_ENDPOINT
+            state=attempts.AttemptState.NOT_RUN, reason=NO_ENDPOINT
         )
         while True:
             member = self._choose(progress)
@@ -134,7 +134,9 @@
             )
             if step is not attempts.Step.RETRY:
                 return _outcome(step, attempt)
-            progress.earlier_lost |= attempt.fate is attempts.Fate.LOST
+            progress.earlier_lost |= (
+                attempt.state is attempts.AttemptState.LOST
+            )
             if not self._may_go_on(progress):
                 break
             call_metrics.RETRIES.labels(call.service).inc()
@@ -175,7 +177,7 @@
             progress.tried.add(member.node)
             self._failed(member, unreachable=True)
             return attempts.Attempt(
-                fate=attempts.Fate.NOT_RUN, reason=exc.reason
+                state=attempts.AttemptState.NOT_RUN, reason=exc.reason
             )
         call = dataclasses.replace(
             progress.call,
@@ -221,11 +223,15 @@
             return None
         if claimed.state is messages.KeyState.MISUSED:
             return attempts.Attempt(
-                fate=attempts.Fate.NOT_RUN, reason=MISUSED, retryable=False
+                state=attempts.AttemptState.NOT_RUN,
+                reason=MISUSED,
+                retryable=False,
             )
         if claimed.grant is None:
             return attempts.Attempt(
-                fate=attempts.Fate.LOST, reason=UNSETTLED, retryable=False
+                state=attempts.AttemptState.LOST,
+                reason=UNSETTLED,
+                retryable=False,
             )
         earlier = self._ask_for(progress, call, claimed.grant)
         if earlier.revoked:
@@ -287,7 +293,7 @@
         except errors.PeerUnavailable as exc:
             self._failed(member, unreachable=True)
             return attempts.Attempt(
-                fate=attempts.Fate.NOT_RUN, reason=exc.reason
+                state=attempts.AttemptState.NOT_RUN, reason=exc.reason
             )
         except errors.OutcomeUnknown as exc:
             self._failed(member, unreachable=False)
@@ -322,7 +328,9 @@
     ) -> attempts.Attempt:
         if progress.cancellation.cancelled:
             return attempts.Attempt(
-                fate=attempts.Fate.LOST, reason=CANCELLED, retryable=False
+                state=attempts.AttemptState.LOST,
+                reason=CANCELLED,
+                retryable=False,
             )
         revoked = None
         while progress.left_s > 0:
--- a/src/arbutusstall/_systems/attempts.py
+++ b/src/arbutusstall/_systems/attempts.py
@@ -9,7 +9,7 @@
 _BURST = 10.0
 
 
-class Fate(enum.Enum):
+class AttemptState(enum.Enum):
     """What is known of one attempt.
 
     Attributes:
@@ -42,7 +42,7 @@
         revoked: Whether the endpoint answered that it will never run.
     """
 
-    fate: Fate
+    state: AttemptState
     answer: messages.CallAnswer | None = None
     reason: str = ""
     retry_after_ms: int = 0
@@ -73,14 +73,16 @@
     """Return how an attempt ended that got ``answer``."""
     if answer.not_run:
         return Attempt(
-            fate=Fate.NOT_RUN,
+            state=AttemptState.NOT_RUN,
             reason=answer.not_run,
             retry_after_ms=answer.retry_after_ms,
             retryable=answer.not_run in admission.RETRYABLE,
         )
     if answer.unknown:
-        return Attempt(fate=Fate.LOST, reason=answer.unknown, retryable=False)
-    return Attempt(fate=Fate.ANSWERED, answer=answer)
+        return Attempt(
+            state=AttemptState.LOST, reason=answer.unknown, retryable=False
+        )
+    return Attempt(state=AttemptState.ANSWERED, answer=answer)
 
 
 def from_revocation(
@@ -93,16 +95,18 @@
         reason: Why the attempt was lost.
     """
     if revoked is None:
-        return Attempt(fate=Fate.LOST, reason=reason)
+        return Attempt(state=AttemptState.LOST, reason=reason)
     if revoked.state is messages.RevokeState.REVOKED:
         return Attempt(
-            fate=Fate.NOT_RUN, reason=f"revoked: {reason}", revoked=True
+            state=AttemptState.NOT_RUN,
+            reason=f"revoked: {reason}",
+            revoked=True,
         )
     if revoked.answer is not None:
         return from_answer(revoked.answer)
     running = revoked.state is messages.RevokeState.RUNNING
     return Attempt(
-        fate=Fate.LOST,
+        state=AttemptState.LOST,
         reason="still running" if running else reason,
         retryable=not running,
     )
@@ -116,9 +120,9 @@
     Args:
         earlier_lost: Whether an earlier attempt may have been executed.
     """
-    if attempt.fate is Fate.ANSWERED:
+    if attempt.state is AttemptState.ANSWERED:
         return Step.ANSWER
-    lost = attempt.fate is Fate.LOST
+    lost = attempt.state is AttemptState.LOST
     if attempt.retryable and (idempotent or not lost):
         return Step.RETRY
     return give_up(attempt, earlier_lost=earlier_lost)
@@ -126,6 +130,6 @@
 
 def give_up(attempt: Attempt, *, earlier_lost: bool) -> Step:
     """Return what the caller is told when there is no further attempt."""
-    if earlier_lost or attempt.fate is Fate.LOST:
+    if earlier_lost or attempt.state is AttemptState.LOST:
         return Step.SAY_UNKNOWN
     return Step.SAY_NOT_RUN
--- a/tests/call_model.py
+++ b/tests/call_model.py
@@ -256,7 +256,7 @@
         step = attempts.next_step(
             attempt, idempotent=self._idempotent, earlier_lost=self._lost
         )
-        self._lost |= attempt.fate is attempts.Fate.LOST
+        self._lost |= attempt.state is attempts.AttemptState.LOST
         if step is not attempts.Step.RETRY:
             self.told = step
             return
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -28,7 +28,7 @@
     "never-in-part": (_CONFIGURATION, _ROOTS),
     "bad-version-contained": (
         "invariant_rollouts",
-        "versions that fail, are slow",
+        "a version turns bad late",
     ),
     "own-whole-answer": (_CALLS, "answers of targets are cut"),
     "not-run-is-true": (_CALLS, "answers of targets are cut"),
