Check the ranges of rollout and call settings

Cause: a growth of 1, a false alarm rate of 0 or a share over 1 were accepted, and advertised addresses were not checked. Change: rows for each; reading and checking have a module of their own, so that the settings module holds the data classes only.

--- a/features/files.feature
+++ b/features/files.feature
@@ -38,6 +38,14 @@
 
     Examples:
       | path               | value              | reason                                              |
+      | rollout.growth | 1 | $.rollout.growth: 1.0 is below 1.01 |
+      | rollout.growth_max | 1.2 | $.rollout.growth_max: 1.2 is below 1.6 |
+      | rollout.false_rollbacks | 0 | $.rollout.false_rollbacks: 0.0 is not above 0 |
+      | rollout.headroom | 1.5 | $.rollout.headroom: 1.5 is not in 0..1 |
+      | rollout.few_calls | 31 | $.rollout.min_calls: 30 is below 31 |
+      | calls.retry_share | 2 | $.calls.retry_share: 2.0 is not in 0..1 |
+      | relay.root_expire_s | 6 | $.relay.root_expire_s: 6.0 is below 10.0 |
+      | advertise.inbound | "vazeni-1:80" | $.advertise.inbound: an address is IP:PORT |
       | node               | ""                 | $.node: an id has                                   |
       | addresses.admin    | "localhost:80"     | $.addresses.admin: an address is IP:PORT            |
       | addresses.admin    | "10.0.0.1:0"       | $.addresses.admin: an address is IP:PORT            |
--- a/src/arbutusstall/_cli/node.py
+++ b/src/arbutusstall/_cli/node.py
@@ -7,6 +7,7 @@
 from cleo.commands import command
 
 from arbutusstall import _settings
+from arbutusstall import _settings_files
 from arbutusstall import errors
 from arbutusstall._cli import program
 from arbutusstall._shell import events
@@ -27,7 +28,7 @@
             print("error: --settings FILE is needed", file=sys.stderr)
             return None
         try:
-            return _settings.load(pathlib.Path(name))
+            return _settings_files.load(pathlib.Path(name))
         except errors.InvalidFile as exc:
             print(f"{exc.peer}: {exc.reason}", file=sys.stderr)
             return None
--- a/src/arbutusstall/_cli/note.py
+++ b/src/arbutusstall/_cli/note.py
@@ -14,6 +14,7 @@
 
 from arbutusstall import _notes
 from arbutusstall import _settings
+from arbutusstall import _settings_files
 from arbutusstall import errors
 from arbutusstall._cli import program
 from arbutusstall._cli import waiting
@@ -94,11 +95,11 @@
         """Return how to reach the log, if the command line says so."""
         name = self.option("settings")
         if name:
-            return _settings.load_log(pathlib.Path(name))
+            return _settings_files.load_log(pathlib.Path(name))
         url = self.option("log")
         if not url:
             return None
-        if not _settings.is_url(url):
+        if not _settings_files.is_url(url):
             raise _UsageError("--log is no http:// or https:// URL")
         return _settings.LogSettings(url=url)
 
--- a/src/arbutusstall/settings.py
+++ b/src/arbutusstall/settings.py
@@ -3,13 +3,13 @@
 from arbutusstall._settings import AddressSettings
 from arbutusstall._settings import CallSettings
 from arbutusstall._settings import CheckpointSettings
-from arbutusstall._settings import decode
 from arbutusstall._settings import LeaseSettings
-from arbutusstall._settings import load
 from arbutusstall._settings import LogSettings
 from arbutusstall._settings import NodeSettings
 from arbutusstall._settings import RelaySettings
 from arbutusstall._settings import RolloutSettings
+from arbutusstall._settings_files import decode
+from arbutusstall._settings_files import load
 
 __all__ = [
     "AddressSettings",
