Hold the cost of rollouts against its bound

Cause: the table said what a root spends on running rollouts, but only the bytes had a bound. Change: 2.5 % of a core is a bound of each row.

--- a/benchmarks/move_slopes.py
+++ b/benchmarks/move_slopes.py
@@ -30,17 +30,25 @@
 _TICK_S = 0.1
 _CALLS_PER_REPORT = 120
 _NODE_BYTES_PER_S = 12_000.0
+_NODE_CPU_PERCENT = 2.5
 
 
 def report(short: bool) -> reports.Report:
     """Run each number of rollouts in turn."""
     seconds = _SHORT_SECONDS if short else _SECONDS
-    rows = []
+    rows, bounds = [], []
     row_bytes = 0.0
     for count in _ROLLOUTS:
         cost = _Run(count).run(seconds)
         row_bytes = cost[3]
         rows.append((str(count), *(f"{value:.4g}" for value in cost)))
+        bounds.append(
+            reports.at_most(
+                f"root with {count} rollouts, % of a core",
+                cost[-1],
+                _NODE_CPU_PERCENT,
+            )
+        )
     policy = node_settings.RolloutSettings()
     per_endpoint = row_bytes * _ROUTES / policy.report_s
     return reports.Report(
@@ -57,6 +65,7 @@
         ),
         rows=tuple(rows),
         bounds=(
+            *bounds,
             reports.at_most(
                 "report bytes/s of an endpoint while its service moves",
                 per_endpoint,
