Build refusals of calls in one place

Cause: the inbound proxy and the target's client each had the same function that says a call was not executed. Ruled out: the other pairs that were listed share a shape only (declarations of data classes, a protocol beside its implementation). Change: admission.refusal serves both; behaviour as before. The whole suite was not run on this commit.

--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -228,7 +228,9 @@
         if target is None or decision.verdict is admission.Verdict.REFUSE:
             return self._turned_away(call, decision)
         if not self._wait(running, decision):
-            return _refusal(call, admission.OVERLOAD, decision.retry_after_ms)
+            return admission.refusal(
+                call, admission.OVERLOAD, decision.retry_after_ms
+            )
         return self._execute(running, target, arrived_ms)
 
     def _begin(
@@ -275,7 +277,9 @@
         self, call: messages.CallRequest, decision: admission.Decision
     ) -> messages.CallAnswer:
         if decision.refusal != revocation.DUPLICATE:
-            return _refusal(call, decision.refusal, decision.retry_after_ms)
+            return admission.refusal(
+                call, decision.refusal, decision.retry_after_ms
+            )
         # The same id has been admitted before, so nothing can be denied.
         return messages.CallAnswer(
             call_id=call.call_id,
@@ -293,7 +297,7 @@
         started_s = time.monotonic()
         left_ms = call.deadline_ms - (self.now_ms() - arrived_ms)
         self._event("call-started", call, level=logging.DEBUG)
-        answer = _refusal(call, admission.LATE)
+        answer = admission.refusal(call, admission.LATE)
         try:
             if left_ms > 0:
                 answer = self._exchange(running, target, left_ms)
@@ -320,11 +324,11 @@
             with self._pool.connection(target.address) as connection:
                 running.connection = connection
                 if running.cancelled:
-                    return _refusal(call, _CANCELLED)
+                    return admission.refusal(call, _CANCELLED)
                 answer = targets.exchange(connection, target, call, left_ms)
                 running.connection = None
         except errors.PeerUnavailable:
-            return _refusal(call, admission.OVERLOAD)
+            return admission.refusal(call, admission.OVERLOAD)
         if running.cancelled and answer.unknown:
             return dataclasses.replace(answer, unknown=_CANCELLED)
         if answer.unknown and targets.is_gone(target):
@@ -431,14 +435,3 @@
     if treatment is quarantine.Treatment.REFUSE:
         return quarantine.POISON
     return ""
-
-
-def _refusal(
-    call: messages.CallRequest, reason: str, retry_after_ms: int = 0
-) -> messages.CallAnswer:
-    return messages.CallAnswer(
-        call_id=call.call_id,
-        request_id=call.request_id,
-        not_run=reason,
-        retry_after_ms=retry_after_ms,
-    )
--- a/src/arbutusstall/_shell/target.py
+++ b/src/arbutusstall/_shell/target.py
@@ -45,7 +45,7 @@
     try:
         response = connection.send(request)
     except errors.PeerUnavailable:
-        return _refusal(call, admission.UNREACHABLE, 0)
+        return admission.refusal(call, admission.UNREACHABLE)
     except errors.OutcomeUnknown as exc:
         return messages.CallAnswer(
             call_id=call.call_id,
@@ -84,7 +84,9 @@
             unknown="the target answered another request",
         )
     if _is_shed(response):
-        return _refusal(call, admission.SHED, _retry_after_ms(response))
+        return admission.refusal(
+            call, admission.SHED, _retry_after_ms(response)
+        )
     return messages.CallAnswer(
         call_id=call.call_id,
         request_id=call.request_id,
@@ -107,14 +109,3 @@
 def _retry_after_ms(response: http.Response) -> int:
     value = headers.get(response.headers, headers.RETRY_AFTER)
     return int(value) * 1000 if value.isdecimal() else 0
-
-
-def _refusal(
-    call: messages.CallRequest, reason: str, retry_after_ms: int
-) -> messages.CallAnswer:
-    return messages.CallAnswer(
-        call_id=call.call_id,
-        request_id=call.request_id,
-        not_run=reason,
-        retry_after_ms=retry_after_ms,
-    )
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -6,6 +6,7 @@
 import enum
 
 from arbutusstall._systems import revocation
+from arbutusstall._wire import messages
 
 DRAINING = "draining"
 OVERLOAD = "overload"
@@ -192,6 +193,18 @@
         return int(turns * self._service_ms)
 
 
+def refusal(
+    call: messages.CallRequest, reason: str, retry_after_ms: int = 0
+) -> messages.CallAnswer:
+    """Return the answer that a call was certainly not executed."""
+    return messages.CallAnswer(
+        call_id=call.call_id,
+        request_id=call.request_id,
+        not_run=reason,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def _refuse(reason: str, retry_after_ms: int = 0) -> Decision:
     return Decision(
         verdict=Verdict.REFUSE, refusal=reason, retry_after_ms=retry_after_ms
