--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,7 @@
+"""Starts a node."""
+
+import sys
+
+from arbutusstall.platform import main
+
+sys.exit(main.main())
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -16,6 +16,7 @@
 from arbutusstall._systems import membership
 from arbutusstall._systems import outcomes
 from arbutusstall._systems import progress
+from arbutusstall._systems import publication
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import rollout
 from arbutusstall._systems import root_claims
@@ -36,6 +37,9 @@
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
     _effects.TargetCrashed: quarantine.on_crashed,
+    _effects.Published: publication.on_published,
+    _effects.Ordered: publication.on_ordered,
+    _effects.SourceChanged: publication.on_source_changed,
 }
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
@@ -125,6 +129,7 @@
         effects += checkpoint.run(self.tables, now)
         effects += outcomes.run(self.tables, now)
         effects += rollout.run(self.tables, now)
+        effects += publication.run(self.tables, now)
         return effects
 
     def _receive(
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -71,12 +71,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Announced:
-    """The target beside this node announced itself."""
+    """The target beside this node announced itself.
+
+    Attributes:
+        instance: Names one start of the target; empty if it has no name.
+        cold_s: How much longer it is slow after its start, in seconds.
+    """
 
     service: str
     version: str
     address: str
     slots: int
+    instance: str = ""
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,6 +113,41 @@
     suspects: tuple[messages.Suspect, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Published:
+    """An external source has published a whole configuration."""
+
+    source_version: int
+    services: tuple[agreed.Service, ...]
+    routes: tuple[agreed.Route, ...]
+    limits: agreed.CallerLimits = agreed.CallerLimits()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ordered:
+    """An external source asks to move a service to one version.
+
+    Attributes:
+        order_id: Names the order; the same whoever reads it.
+        duration_s: Time in which the move is to be done.
+        outcome: Verdict that was reported of it before, if any.
+    """
+
+    order_id: str
+    service: str
+    version: str
+    duration_s: float
+    outcome: agreed.RolloutState = agreed.RolloutState.RUNNING
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SourceChanged:
+    """An external source no longer answers, or does again."""
+
+    available: bool
+    reason: str = ""
+
+
 Event = (
     LogRead
     | LogFailed
@@ -116,6 +158,9 @@
     | Left
     | Observed
     | TargetCrashed
+    | Published
+    | Ordered
+    | SourceChanged
 )
 
 
@@ -138,6 +183,15 @@
     """Read the log no longer."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReportRollout:
+    """Tell the external source how an ordered rollout stands."""
+
+    service: str
+    version: str
+    state: agreed.RolloutState
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Connect:
     """Open a stream to the node at ``address`` and send ``hello``."""
@@ -213,6 +267,7 @@
     Append
     | FollowLog
     | StopLog
+    | ReportRollout
     | Connect
     | Disconnect
     | Send
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -10,6 +10,7 @@
 
 from arbutusstall import _notes
 from arbutusstall import errors
+from arbutusstall._tables import agreed
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,6 +34,51 @@
     read_to: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationRecord:
+    """A whole configuration from an external source.
+
+    It replaces all services and routes if its version is higher than
+    that of the one in force. Any root may append it; a repeated one has
+    no effect.
+
+    Attributes:
+        source_version: Version that the source gave it.
+    """
+
+    record_id: str
+    source_version: int
+    services: tuple[agreed.Service, ...]
+    routes: tuple[agreed.Route, ...]
+    limits: agreed.CallerLimits = agreed.CallerLimits()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutOrder:
+    """Asks to move all traffic of a service to one version.
+
+    Any root may append it; a repeated one has no effect.
+
+    Attributes:
+        order_id: Names the order; the same for each copy of it.
+        version: Version that is to carry all traffic.
+        previous: Version that carries the traffic if no shares of the
+            service are agreed yet; empty if there is none.
+        started_s: When the order was seen, seconds since the epoch.
+        by_s: When the goal is to be reached, seconds since the epoch.
+        outcome: Verdict of an earlier run whose agreed state was lost.
+    """
+
+    record_id: str
+    order_id: str
+    service: str
+    version: str
+    previous: str
+    started_s: float
+    by_s: float
+    outcome: agreed.RolloutState = agreed.RolloutState.RUNNING
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseClaim:
     """Asks for the lease; accepted if ``replaces`` is the current one."""
@@ -166,6 +212,8 @@
 
 Record = (
     ReleaseRecord
+    | ConfigurationRecord
+    | RolloutOrder
     | LeaseClaim
     | LeaseRenewal
     | ShareDecision
@@ -178,6 +226,8 @@
 
 _KINDS: dict[str, type[Record]] = {
     "release": ReleaseRecord,
+    "configuration": ConfigurationRecord,
+    "rollout-order": RolloutOrder,
     "lease-claim": LeaseClaim,
     "lease-renewal": LeaseRenewal,
     "shares": ShareDecision,
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -152,6 +152,95 @@
     return rollout
 
 
+def apply_order(
+    state: tables.Agreed, offset: int, record: records.RolloutOrder
+) -> tables.Agreed:
+    """Return the state after an order to move a service to a version.
+
+    An order that was taken before, or that names an unknown service,
+    changes nothing. A running rollout of the service is superseded.
+    """
+    rollout_id = f"{record.order_id}/{record.service}"
+    old = state.snapshot
+    known = rollout_id in old.rollouts_by_id or (
+        rollout_id in state.ended_rollouts_by_id
+    )
+    if known or record.service not in old.services_by_name:
+        return state
+    changes = _supersede(
+        Changes(
+            shares_by_service=old.shares_by_service,
+            rollouts_by_id=old.rollouts_by_id,
+            blocked=old.blocked,
+        ),
+        record.service,
+        record.order_id,
+    )
+    rollout = _ordered(changes, rollout_id, offset, record)
+    name = f"{record.service}/{record.version}"
+    rejected = rollout.state is tables.RolloutState.ROLLED_BACK
+    snapshot = dataclasses.replace(
+        old,
+        version=offset + 1,
+        shares_by_service={
+            **changes.shares_by_service,
+            record.service: tables.Shares(
+                service=record.service,
+                percent_by_version=_order_shares(rollout),
+            ),
+        },
+        rollouts_by_id={**changes.rollouts_by_id, rollout_id: rollout},
+        blocked=changes.blocked | {name}
+        if rejected
+        else changes.blocked - {name},
+    )
+    return trim(dataclasses.replace(state, snapshot=snapshot))
+
+
+def _ordered(
+    changes: Changes,
+    rollout_id: str,
+    offset: int,
+    record: records.RolloutOrder,
+) -> tables.Rollout:
+    current = changes.shares_by_service.get(record.service)
+    start = dict(current.percent_by_version) if current else {}
+    if not start and record.previous:
+        start = {record.previous: _FULL_PERCENT}
+    rollout = tables.Rollout(
+        rollout_id=rollout_id,
+        release=record.order_id,
+        service=record.service,
+        start=start,
+        goal={record.version: _FULL_PERCENT},
+        started_s=record.started_s,
+        by_s=record.by_s,
+        offset=offset,
+    )
+    if record.outcome is tables.RolloutState.ROLLED_BACK:
+        return dataclasses.replace(
+            rollout,
+            state=record.outcome,
+            reason="rolled back before",
+            rejected=(record.version,),
+        )
+    if record.outcome is tables.RolloutState.DONE:
+        return _at_once(rollout, "done before")
+    if not start:
+        return _at_once(rollout, "first version of the service")
+    if not shares.rising(rollout):
+        return _at_once(rollout, "the shares are in force already")
+    return rollout
+
+
+def _order_shares(rollout: tables.Rollout) -> abc.Mapping[str, float]:
+    if rollout.state is tables.RolloutState.DONE:
+        return rollout.goal
+    if rollout.state is tables.RolloutState.ROLLED_BACK:
+        return shares.rolled_back(rollout, rollout.rejected)
+    return rollout.start
+
+
 def _at_once(rollout: tables.Rollout, reason: str) -> tables.Rollout:
     return dataclasses.replace(
         rollout,
--- /dev/null
+++ b/src/arbutusstall/_proxy/control.py
@@ -0,0 +1,74 @@
+"""Drives a node's decision logic on the event loop."""
+
+import asyncio
+import collections
+from collections import abc
+from typing import Any
+
+from arbutusstall import _clock
+from arbutusstall import _core
+from arbutusstall import _effects
+
+Executor = abc.Callable[[Any], None]
+
+
+class ControlLoop:
+    """Feeds events and ticks to a core and carries out its effects."""
+
+    def __init__(
+        self, core: _core.NodeCore, clock: _clock.Clock, tick_s: float
+    ) -> None:
+        self._core = core
+        self._clock = clock
+        self._tick_s = tick_s
+        self._loop = asyncio.get_running_loop()
+        self._events: collections.deque[_effects.Event] = collections.deque()
+        self._executors: dict[type[Any], Executor] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = False
+        self._stopped = False
+
+    def on(self, kind: type[Any], executor: Executor) -> None:
+        """Carry out effects of type ``kind`` by ``executor``."""
+        self._executors[kind] = executor
+
+    def put(self, event: _effects.Event) -> None:
+        """Queue an event; only the loop's own thread may call this."""
+        self._events.append(event)
+        if not self._due:
+            self._due = True
+            self._loop.call_soon(self._handle)
+
+    def put_from_thread(self, event: _effects.Event) -> None:
+        """Queue an event; any thread may call this."""
+        if not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self.put, event)
+
+    def start(self) -> None:
+        """Begin."""
+        self._carry_out(self._core.start(self._clock.now()))
+        self._tick()
+
+    def stop(self) -> None:
+        """Handle no further event."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _handle(self) -> None:
+        self._due = False
+        while self._events and not self._stopped:
+            event = self._events.popleft()
+            self._carry_out(self._core.handle(event, self._clock.now()))
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        self._carry_out(self._core.tick(self._clock.now()))
+        self._timer = self._loop.call_later(self._tick_s, self._tick)
+
+    def _carry_out(self, effects: abc.Iterable[_effects.Effect]) -> None:
+        for effect in effects:
+            executor = self._executors.get(type(effect))
+            if executor is not None:
+                executor(effect)
--- /dev/null
+++ b/src/arbutusstall/_proxy/frames.py
@@ -0,0 +1,183 @@
+"""Messages between nodes as length-prefixed frames on a TCP connection."""
+
+import asyncio
+from collections import abc
+import logging
+import socket
+import struct
+from typing import cast
+from typing import Protocol
+
+from arbutusstall import errors
+from arbutusstall._wire import messages
+
+LOG = logging.getLogger(__name__)
+
+_LENGTH = struct.Struct(">I")
+_MAX_FRAME_BYTES = 64 * 1024 * 1024
+_MAX_UNSENT_BYTES = 8 * 1024 * 1024
+_USER_TIMEOUT_MS = 3_000
+_BACKLOG = 512
+
+
+class Owner(Protocol):
+    """Uses one connection."""
+
+    def on_message(
+        self, connection: "FrameConnection", message: messages.Message
+    ) -> None:
+        """Take a message in."""
+        ...
+
+    def on_lost(self, connection: "FrameConnection", reason: str) -> None:
+        """Note that the connection has ended."""
+        ...
+
+
+class FrameConnection(asyncio.Protocol):
+    """A connection that carries messages both ways.
+
+    Attributes:
+        heard_s: Loop time at which bytes arrived last.
+        owner: Gets what arrives; may be replaced.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        on_made: abc.Callable[["FrameConnection"], None] | None = None,
+    ) -> None:
+        self.owner = owner
+        self.heard_s = asyncio.get_running_loop().time()
+        self._on_made = on_made
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and (
+            not self._transport.is_closing()
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Use the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+            )
+        if self._on_made is not None:
+            self._on_made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner."""
+        self._transport = None
+        self.owner.on_lost(self, str(exc or "closed by the peer"))
+
+    def data_received(self, data: bytes) -> None:
+        """Hand on each whole message."""
+        self.heard_s = asyncio.get_running_loop().time()
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (size,) = _LENGTH.unpack_from(buffer, start)
+            end = start + _LENGTH.size + size
+            if size > _MAX_FRAME_BYTES:
+                self._fail("a frame is too large")
+                return
+            if len(buffer) < end:
+                break
+            frame = bytes(buffer[start + _LENGTH.size : end])
+            start = end
+            try:
+                message = messages.decode(frame)
+            except errors.WireError as exc:
+                self._fail(exc.reason)
+                return
+            self.owner.on_message(self, message)
+        del buffer[:start]
+
+    def send(self, message: messages.Message) -> bool:
+        """Send a message; false if the connection has ended."""
+        return self.send_encoded(messages.encode(message))
+
+    def send_encoded(self, data: bytes) -> bool:
+        """Send an encoded message; false if the connection has ended."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
+            self._fail("the peer does not keep up")
+            return False
+        transport.write(_LENGTH.pack(len(data)) + data)
+        return True
+
+    def close(self) -> None:
+        """End the connection after what was sent before."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, reason: str) -> None:
+        LOG.warning(
+            {"event": "connection-dropped", "reason": reason},
+        )
+        self.abort()
+
+
+class FrameServer:
+    """Accepts connections of other nodes."""
+
+    def __init__(
+        self, address: str, make_owner: abc.Callable[[], Owner]
+    ) -> None:
+        self._address = address
+        self._make_owner = make_owner
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to accept."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: FrameConnection(self._make_owner()),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+
+    def close(self) -> None:
+        """Accept no further connection."""
+        if self._server is not None:
+            self._server.close()
+
+
+async def connect(
+    address: str, owner: Owner, timeout_s: float
+) -> FrameConnection:
+    """Open a connection to another node.
+
+    Raises:
+        PeerUnavailable: It could not be opened in time.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, made = await asyncio.get_running_loop().create_connection(
+                lambda: FrameConnection(owner), host, int(port)
+            )
+    except (OSError, TimeoutError) as exc:
+        raise errors.PeerUnavailable(
+            step="peer.connect",
+            peer=address,
+            reason=str(exc) or "no connection in time",
+        ) from exc
+    return made
--- /dev/null
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -0,0 +1,306 @@
+"""HTTP/1.1 connections to a target; httptools parses the responses.
+
+Nothing is sent twice here: a request that gets no answer of its own is
+reported as lost, and whether to try again is decided elsewhere.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import re
+import socket
+from typing import cast
+
+import httptools
+
+from arbutusstall import errors
+from arbutusstall._proxy import http_messages
+
+_CONNECT_S = 1.0
+_IDLE_S = 8.0
+# The target counts its idle time from an earlier moment than this side.
+_IDLE_PART = 0.7
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+_MAX_HEADERS = 256
+_TIMEOUT = re.compile(r"timeout=(\d+)")
+
+Accepts = abc.Callable[[http_messages.Response], bool]
+Done = abc.Callable[[http_messages.Response | errors.ArbutusstallError], None]
+
+
+class Connection(asyncio.Protocol):
+    """One connection; it carries one request at a time."""
+
+    def __init__(self, pool: "Pool") -> None:
+        self.reusable = True
+        self.idle_until_s = 0.0
+        self._pool = pool
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._accepts: Accepts | None = None
+        self._done: Done | None = None
+        self._head_request = False
+        self._start_message()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Use the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the request in flight, if there is one."""
+        self._transport = None
+        self.reusable = False
+        self._pool.forget(self)
+        if self._done is None:
+            return
+        if exc is None and self._ends_with_connection():
+            self._complete()
+            return
+        self._finish(self._lost(str(exc or "closed by the target")))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if self._done is None:
+            # Nobody asked: these bytes belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.reusable = False
+        except httptools.HttpParserError as exc:
+            self.reusable = False
+            if self._done is not None:
+                self._finish(self._lost(f"unreadable answer: {exc}"))
+            self.close()
+
+    def send(
+        self, data: bytes, *, head_only: bool, accepts: Accepts, done: Done
+    ) -> None:
+        """Send a request.
+
+        Args:
+            head_only: Whether the request is a HEAD.
+            accepts: Tells whether a response belongs to the request; one
+                that does not is dropped.
+            done: Called once with the response, or with
+                `errors.OutcomeUnknown`.
+        """
+        self._accepts = accepts
+        self._done = done
+        self._head_request = head_only
+        self._start_message()
+        if self._transport is None:
+            self._finish(self._lost("closed before the request"))
+            return
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection; a request in flight is lost."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can carry another request."""
+        transport = self._transport
+        return (
+            self.reusable
+            and transport is not None
+            and not transport.is_closing()
+        )
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Start with a new response."""
+        self._start_message()
+        if self._done is None:
+            self.reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        if len(self._headers) < _MAX_HEADERS:
+            pair = (name.decode("latin-1"), value.decode("latin-1"))
+            self._headers.append(pair)
+
+    def on_headers_complete(self) -> None:
+        """Note that the head is whole."""
+        self._head_done = True
+        if self._head_request and self._done is not None:
+            # The parser would wait for the body that the head announces.
+            self.reusable = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self._body += body
+        if len(self._body) > _MAX_BODY_BYTES and self._done is not None:
+            self._finish(self._lost("the answer is too large"))
+            self.close()
+
+    def on_message_complete(self) -> None:
+        """Hand the response on if it belongs to the request."""
+        if self._done is None:
+            self.reusable = False
+            return
+        if self._parser.get_status_code() < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self.reusable = False
+        self._complete()
+
+    def _complete(self) -> None:
+        response = http_messages.Response(
+            status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
+            body=bytes(self._body),
+        )
+        accepts = self._accepts
+        if accepts is None or not accepts(response):
+            # An answer to an earlier request; the own one may follow.
+            self.reusable = False
+            if self._transport is None:
+                self._finish(self._lost("only an answer to another request"))
+            return
+        if self._transport and self._transport.get_write_buffer_size():
+            # The target answered before it had read the whole request.
+            self.reusable = False
+        self._note_idle_limit()
+        self._finish(response)
+
+    def _note_idle_limit(self) -> None:
+        value = http_messages.get(tuple(self._headers), "keep-alive")
+        found = _TIMEOUT.search(value)
+        limit_s = float(found.group(1)) if found else _IDLE_S
+        now_s = asyncio.get_running_loop().time()
+        self.idle_until_s = now_s + limit_s * _IDLE_PART
+
+    def _finish(
+        self, outcome: http_messages.Response | errors.ArbutusstallError
+    ) -> None:
+        done, self._done = self._done, None
+        self._accepts = None
+        if done is not None:
+            done(outcome)
+
+    def _ends_with_connection(self) -> bool:
+        if not self._head_done or self._head_request:
+            return False
+        names = {name.lower() for name, _ in self._headers}
+        return not names & {"content-length", "transfer-encoding"}
+
+    def _lost(self, reason: str) -> errors.OutcomeUnknown:
+        return errors.OutcomeUnknown(
+            step="target.exchange", peer=self._pool.address, reason=reason
+        )
+
+    def _start_message(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._body = bytearray()
+        self._head_done = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lease:
+    """A connection that is lent for one request.
+
+    Attributes:
+        fresh: Whether it has carried no request before.
+    """
+
+    connection: Connection
+    fresh: bool
+
+
+class Pool:
+    """Connections to one target; the newest idle one is used first."""
+
+    def __init__(self, address: str, limit: int) -> None:
+        self.address = address
+        self.limit = limit
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+        self._opening = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
+
+    def acquire(
+        self,
+        use: abc.Callable[[Lease | errors.PeerUnavailable], None],
+    ) -> None:
+        """Lend an idle connection at once, or a new one when it is open."""
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open and connection.idle_until_s > now_s:
+                use(Lease(connection=connection, fresh=False))
+                return
+            connection.close()
+        if len(self._open) + self._opening >= self.limit:
+            use(self._unavailable("too many connections"))
+            return
+        self._opening += 1
+        task = asyncio.get_running_loop().create_task(self._connect(use))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def release(self, connection: Connection) -> None:
+        """Take a connection back after its request has ended.
+
+        It is lent again only after all bytes that came with the answer
+        were parsed: there may be more than the answer.
+        """
+        asyncio.get_running_loop().call_soon(self._keep, connection)
+
+    def _keep(self, connection: Connection) -> None:
+        if connection.is_open and not self._closed:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a connection that has ended."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close(self) -> None:
+        """Close the idle connections, and each other one after its use."""
+        self._closed = True
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    async def _connect(
+        self,
+        use: abc.Callable[[Lease | errors.PeerUnavailable], None],
+    ) -> None:
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        result: Lease | errors.PeerUnavailable
+        try:
+            async with asyncio.timeout(_CONNECT_S):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self), host, int(port)
+                )
+        except ConnectionRefusedError as exc:
+            result = errors.ConnectionRefused(
+                step="target.connect", peer=self.address, reason=str(exc)
+            )
+        except (OSError, TimeoutError) as exc:
+            result = self._unavailable(str(exc) or "no connection in time")
+        else:
+            self._open.add(connection)
+            result = Lease(connection=connection, fresh=True)
+        self._opening -= 1
+        use(result)
+
+    def _unavailable(self, reason: str) -> errors.PeerUnavailable:
+        return errors.PeerUnavailable(
+            step="target.connect", peer=self.address, reason=reason
+        )
--- /dev/null
+++ b/src/arbutusstall/_proxy/http_server.py
@@ -0,0 +1,298 @@
+"""An HTTP/1.1 server on asyncio; httptools parses the requests."""
+
+import asyncio
+import collections
+from collections import abc
+import socket
+from typing import cast
+from typing import Protocol
+
+import httptools
+
+from arbutusstall._proxy import http_messages
+from arbutusstall._tables import agreed
+
+_BACKLOG = 1_024
+_SWEEP_S = 0.5
+_MOST_PIPELINED = 16
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
+_BODY_TOO_LARGE = 413
+_HEAD_TOO_LARGE = 431
+
+
+class Exchange:
+    """One request and the way to answer it.
+
+    Attributes:
+        cancelled: Whether the caller has gone.
+        on_cancelled: Called once when the caller goes before the answer.
+    """
+
+    __slots__ = ("_connection", "cancelled", "on_cancelled", "request")
+
+    def __init__(
+        self, connection: "_Connection", request: http_messages.Request
+    ) -> None:
+        self.request = request
+        self.cancelled = False
+        self.on_cancelled: abc.Callable[[], None] | None = None
+        self._connection: _Connection | None = connection
+
+    def answer(self, response: http_messages.Response) -> None:
+        """Write the answer; a second one is ignored."""
+        connection, self._connection = self._connection, None
+        self.on_cancelled = None
+        if connection is not None:
+            connection.answer(self, response)
+
+    def cancel(self) -> None:
+        """Note that the caller has gone."""
+        self._connection = None
+        self.cancelled = True
+        callback, self.on_cancelled = self.on_cancelled, None
+        if callback is not None:
+            callback()
+
+
+class Handler(Protocol):
+    """Answers requests."""
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a request in; it is answered now or later."""
+        ...
+
+
+class HttpServer:
+    """Serves a handler on one address.
+
+    Attributes:
+        limits: What callers may send; may be replaced at any time.
+        closing: Whether each connection ends after its next answer.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: agreed.CallerLimits | None = None,
+    ) -> None:
+        self.limits = limits or agreed.CallerLimits()
+        self.closing = False
+        self.handler = handler
+        self.loop = asyncio.get_running_loop()
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    @property
+    def busy(self) -> int:
+        """Number of requests without an answer."""
+        return sum(connection.busy for connection in self._connections)
+
+    async def start(self) -> None:
+        """Begin to accept connections."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await self.loop.create_server(
+            lambda: _Connection(self),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+        self._sweep()
+
+    def close_listener(self) -> None:
+        """Accept no new connection and end the idle ones."""
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Close everything."""
+        self.close_listener()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def add(self, connection: "_Connection") -> None:
+        """Keep track of a new connection."""
+        self._connections.add(connection)
+
+    def remove(self, connection: "_Connection") -> None:
+        """Forget a connection that has ended."""
+        self._connections.discard(connection)
+
+    def _sweep(self) -> None:
+        now_s = self.loop.time()
+        for connection in list(self._connections):
+            connection.check_time(now_s)
+        self._sweeper = self.loop.call_later(_SWEEP_S, self._sweep)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._peer = ""
+        self._current: Exchange | None = None
+        self._waiting: collections.deque[tuple[Exchange, bool]] = (
+            collections.deque()
+        )
+        self._keep_alive = True
+        self._reading = False
+        self._failed = False
+        self._changed_s = server.loop.time()
+        self._start_message()
+
+    @property
+    def busy(self) -> bool:
+        return self._current is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._peer = (transport.get_extra_info("peername") or ("",))[0]
+        self._server.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._server.remove(self)
+        exchange, self._current = self._current, None
+        if exchange is not None:
+            exchange.cancel()
+        self._waiting.clear()
+
+    def data_received(self, data: bytes) -> None:
+        if self._failed:
+            return
+        self._changed_s = self._server.loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._failed = True
+        except httptools.HttpParserError:
+            self._reject(_BAD_REQUEST)
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        self._reading = True
+        self._start_message()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head(len(name) + len(value))
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        pairs = tuple(self._headers)
+        if http_messages.get(pairs, "expect").lower() == "100-continue":
+            self._write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > self._server.limits.body_bytes:
+            self._reject(_BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        self._reading = False
+        if self._failed:
+            return
+        request = http_messages.Request(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=bytes(self._body),
+            peer=self._peer,
+        )
+        exchange = Exchange(self, request)
+        keep_alive = self._parser.should_keep_alive()
+        if self._current is None:
+            self._begin(exchange, keep_alive)
+        elif len(self._waiting) < _MOST_PIPELINED:
+            self._waiting.append((exchange, keep_alive))
+        else:
+            self._failed = True
+
+    def answer(
+        self, exchange: Exchange, response: http_messages.Response
+    ) -> None:
+        if self._transport is None or exchange is not self._current:
+            return
+        self._current = None
+        close = (
+            not self._keep_alive
+            or self._server.closing
+            or (self._failed and not self._waiting)
+        )
+        self._write(
+            http_messages.encode_response(
+                response,
+                close=close,
+                head_only=exchange.request.method == "HEAD",
+            )
+        )
+        self._changed_s = self._server.loop.time()
+        if close:
+            self._transport.close()
+        elif self._waiting:
+            self._begin(*self._waiting.popleft())
+
+    def close_if_idle(self) -> None:
+        if self._current is None and not self._reading and self._transport:
+            self._transport.close()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_time(self, now_s: float) -> None:
+        if self._current is not None or self._transport is None:
+            return
+        limits = self._server.limits
+        age_ms = (now_s - self._changed_s) * 1000
+        if self._reading and age_ms > limits.header_timeout_ms:
+            self._reject(_REQUEST_TIMEOUT)
+        elif age_ms > limits.idle_timeout_ms:
+            self._transport.close()
+
+    def _start_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._body = bytearray()
+        self._head_bytes = 0
+
+    def _begin(self, exchange: Exchange, keep_alive: bool) -> None:
+        self._current = exchange
+        self._keep_alive = keep_alive
+        self._server.handler.handle(exchange)
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits.header_bytes:
+            self._reject(_HEAD_TOO_LARGE)
+
+    def _reject(self, status: int) -> None:
+        if self._failed or self._transport is None:
+            return
+        self._failed = True
+        if self._current is None:
+            response = http_messages.Response(status=status)
+            self._write(http_messages.encode_response(response, close=True))
+            self._transport.close()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
--- /dev/null
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -0,0 +1,570 @@
+"""The inbound proxy: admits calls to the target beside the node."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import logging
+import time
+
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._proxy import dialects
+from arbutusstall._proxy import http_client
+from arbutusstall._proxy import http_messages
+from arbutusstall._shell import call_metrics
+from arbutusstall._shell import events
+from arbutusstall._shell import outcome_counter
+from arbutusstall._systems import admission
+from arbutusstall._systems import quarantine
+from arbutusstall._systems import revocation
+from arbutusstall._wire import messages
+
+Done = abc.Callable[[messages.CallAnswer], None]
+Revoked = abc.Callable[[messages.CallRevoked], None]
+
+CANCELLED = "cancelled by the caller"
+CRASHED = "target crashed"
+
+# Time for the answer's way back; the target has to be done before.
+_RETURN_MS = 10
+# The target ends its work at the deadline; its answer takes a moment.
+_LATE_ANSWER_MS = 60
+_FLUSH_S = 0.25
+_PROBE_S = 0.2
+# Marks of a crash must reach the other nodes before a caller repeats.
+_MARKS_SPREAD_S = 0.1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Running:
+    call: messages.CallRequest
+    done: Done
+    fingerprint: str
+    arrived_ms: int
+    target: _effects.Announced
+    started_s: float = 0.0
+    timer: asyncio.TimerHandle | None = None
+    connection: http_client.Connection | None = None
+    cancelled: bool = False
+    waiting: list[Revoked] = dataclasses.field(default_factory=list)
+
+
+class Inbound:
+    """Runs calls at the target and counts their outcomes.
+
+    Args:
+        put: Takes events for the decision logic.
+    """
+
+    def __init__(
+        self,
+        settings: _settings.NodeSettings,
+        dialect: dialects.Dialect,
+        incarnation: int,
+        put: abc.Callable[[_effects.Event], None],
+        log: events.EventLog,
+    ) -> None:
+        calls = settings.calls
+        self.incarnation = incarnation
+        self._settings = settings
+        self._dialect = dialect
+        self._put = put
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._began_s = self._loop.time()
+        self._counter = outcome_counter.OutcomeCounter(put)
+        table = revocation.CallTable(
+            incarnation,
+            revocation.Limits(
+                horizon_ms=calls.horizon_ms,
+                entries=calls.remembered,
+                answer_bytes=calls.remembered_bytes,
+            ),
+        )
+        self.admission = admission.Admission(
+            table, calls.slots, calls.queue, calls.queue_ms
+        )
+        self._suspects = quarantine.Suspects()
+        self._running_by_id: dict[str, _Running] = {}
+        self._target: _effects.Announced | None = None
+        self._pool: http_client.Pool | None = None
+        self._stopping = False
+        self._crashes = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._flusher: asyncio.TimerHandle | None = None
+        call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
+        call_metrics.QUEUED.set_function(lambda: self.admission.queued)
+        call_metrics.REMEMBERED.set_function(lambda: len(table))
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that were admitted and have not ended."""
+        return len(self._running_by_id)
+
+    @property
+    def target(self) -> _effects.Announced | None:
+        """The target that takes calls now."""
+        return self._target
+
+    def start(self) -> None:
+        """Begin to hand outcome counts on."""
+        self._counter.flush()
+        self._flusher = self._loop.call_later(_FLUSH_S, self.start)
+
+    def announced(self, target: _effects.Announced) -> None:
+        """Use ``target`` for calls from now on."""
+        if self._stopping:
+            return
+        old, self._target = self._target, target
+        self.admission.slots = target.slots
+        self.admission.draining = False
+        if (
+            old is None
+            or old.address != target.address
+            or old.instance != target.instance
+            and self._pool is not None
+        ):
+            self._replace_pool(target.address)
+        self._promote()
+
+    def target_left(self) -> None:
+        """Start nothing more at the target; what runs goes on."""
+        self.admission.draining = True
+        for running in list(self._running_by_id.values()):
+            if self.admission.give_up(running.call.call_id, self.now_ms()):
+                self._refuse_waiting(running, admission.DRAINING)
+
+    def drain(self) -> None:
+        """Refuse new calls for good; those in flight go on."""
+        self._stopping = True
+        self.target_left()
+
+    def stop(self) -> None:
+        """End the counting and the idle connections."""
+        if self._flusher is not None:
+            self._flusher.cancel()
+        self._counter.flush()
+        if self._pool is not None:
+            self._pool.close()
+
+    def suspected(self, effect: _effects.Suspected) -> None:
+        """Run suspects that other nodes found with care."""
+        self._suspects.merge(effect.rows)
+
+    def now_ms(self) -> int:
+        """Return the clock of this incarnation."""
+        return int((self._loop.time() - self._began_s) * 1000)
+
+    def greet(self) -> messages.CallGreeted:
+        """Tell the incarnation and its clock."""
+        return messages.CallGreeted(
+            incarnation=self.incarnation,
+            clock_ms=self.now_ms(),
+            in_flight=self.admission.in_flight + self.admission.queued,
+            slots=self.admission.slots,
+        )
+
+    def submit(self, call: messages.CallRequest, done: Done) -> None:
+        """Run a call at the target, or refuse it.
+
+        ``done`` is called once with the answer.
+        """
+        now_ms = self.now_ms()
+        target = self._target
+        fingerprint = quarantine.fingerprint(
+            call.method, call.path, call.body, call.key
+        )
+        ticket = revocation.Ticket(
+            call_id=call.call_id,
+            incarnation=call.incarnation,
+            sent_ms=call.sent_ms,
+        )
+        treatment = self._suspects.treatment(fingerprint, time.time())
+        refusal = _refusal_reason(call, target, treatment)
+        if refusal or target is None:
+            decision = self.admission.refuse(ticket, refusal, now_ms)
+        else:
+            decision = self.admission.begin(
+                ticket,
+                now_ms,
+                call.deadline_ms,
+                rank=call.rank,
+            )
+        if target is None or decision.verdict is admission.Verdict.REFUSE:
+            self._answer(call, done, _turned_away(call, decision))
+            return
+        running = _Running(
+            call=call,
+            done=done,
+            fingerprint=fingerprint,
+            arrived_ms=now_ms,
+            target=target,
+        )
+        self._running_by_id[call.call_id] = running
+        for call_id in decision.evicted:
+            self._refuse_waiting(
+                self._running_by_id[call_id], admission.OVERLOAD
+            )
+        if decision.verdict is admission.Verdict.START:
+            self._execute(running)
+        else:
+            running.timer = self._loop.call_later(
+                decision.wait_ms / 1000, self._waited_too_long, running
+            )
+
+    def revoke(self, revoke: messages.CallRevoke, done: Revoked) -> None:
+        """Make sure a call never starts, or wait for its end."""
+        ticket = revocation.Ticket(
+            call_id=revoke.call_id,
+            incarnation=revoke.incarnation,
+            sent_ms=revoke.sent_ms,
+        )
+        table = self.admission.table
+        state = table.revoke(ticket, self.now_ms())
+        running = self._running_by_id.get(revoke.call_id)
+        if state is messages.RevokeState.RUNNING and running is not None:
+            running.waiting.append(done)
+            return
+        if state is messages.RevokeState.REVOKED and running is not None:
+            self.admission.give_up(revoke.call_id, self.now_ms())
+            self._forget(running)
+        entry = table.get(revoke.call_id)
+        done(
+            messages.CallRevoked(
+                call_id=revoke.call_id,
+                state=state,
+                answer=entry.answer if entry is not None else None,
+            )
+        )
+
+    def cancel(self, call_id: str) -> None:
+        """Break a call off.
+
+        A call that may not run twice goes on once it has started: its
+        effect would be half done.
+        """
+        running = self._running_by_id.get(call_id)
+        if running is None:
+            return
+        if self.admission.give_up(call_id, self.now_ms()):
+            self._forget(running)
+            return
+        running.cancelled = True
+        if running.call.idempotent and running.connection is not None:
+            running.connection.close()
+
+    def abandon(self, call_id: str) -> None:
+        """Note that the connection which brought a call has ended.
+
+        A call that may not run twice is kept: its sender asks for it
+        over another connection.
+        """
+        running = self._running_by_id.get(call_id)
+        if running is not None and running.call.idempotent:
+            self.cancel(call_id)
+
+    def _execute(self, running: _Running) -> None:
+        call = running.call
+        if running.timer is not None:
+            running.timer.cancel()
+            running.timer = None
+        running.started_s = self._loop.time()
+        left_ms = self._left_ms(running)
+        if left_ms <= 0 or self._pool is None:
+            self._finish(running, admission.refusal(call, admission.LATE))
+            return
+        self._pool.acquire(lambda result: self._acquired(running, result))
+
+    def _acquired(
+        self,
+        running: _Running,
+        result: http_client.Lease | errors.PeerUnavailable,
+    ) -> None:
+        call = running.call
+        if isinstance(result, errors.PeerUnavailable):
+            self._target_unreachable(running, result)
+            return
+        left_ms = self._left_ms(running)
+        abandoned = running.cancelled
+        if left_ms <= 0 or abandoned:
+            self._pool_of(result).release(result.connection)
+            reason = CANCELLED if abandoned else admission.LATE
+            self._finish(running, admission.refusal(call, reason))
+            return
+        running.connection = result.connection
+        request = self._dialect.target_request(call, running.target, left_ms)
+        running.timer = self._loop.call_later(
+            (left_ms + _LATE_ANSWER_MS) / 1000, self._too_late, running
+        )
+        result.connection.send(
+            http_messages.encode_request(request, ""),
+            head_only=call.method == "HEAD",
+            accepts=lambda response: self._dialect.belongs(call, response),
+            done=lambda outcome: self._received(running, outcome),
+        )
+
+    def _received(
+        self,
+        running: _Running,
+        outcome: http_messages.Response | errors.ArbutusstallError,
+    ) -> None:
+        connection, running.connection = running.connection, None
+        if running.timer is not None:
+            running.timer.cancel()
+            running.timer = None
+        if connection is not None and self._pool is not None:
+            self._pool.release(connection)
+        call = running.call
+        if call.call_id not in self._running_by_id:
+            return
+        if isinstance(outcome, http_messages.Response):
+            answer = self._dialect.read_answer(call, outcome)
+            self._finish(running, answer)
+            return
+        if running.cancelled:
+            self._finish(running, _unknown(call, CANCELLED))
+            return
+        task = self._loop.create_task(self._investigate(running, outcome))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _investigate(
+        self, running: _Running, loss: errors.ArbutusstallError
+    ) -> None:
+        """Find out whether the target has crashed with a lost call."""
+        target = running.target
+        reason = loss.reason
+        if await _is_gone(target.address):
+            reason = CRASHED
+            if self._target is target:
+                self._target_crashed(running)
+            await asyncio.sleep(_MARKS_SPREAD_S)
+        if running.call.call_id in self._running_by_id:
+            self._finish(running, _unknown(running.call, reason))
+
+    def _too_late(self, running: _Running) -> None:
+        running.timer = None
+        if running.connection is not None:
+            connection, running.connection = running.connection, None
+            self._finish(running, _unknown(running.call, admission.LATE))
+            connection.close()
+
+    def _finish(self, running: _Running, answer: messages.CallAnswer) -> None:
+        call = running.call
+        if self._running_by_id.pop(call.call_id, None) is None:
+            return
+        if running.timer is not None:
+            running.timer.cancel()
+            running.timer = None
+        now_ms = self.now_ms()
+        table = self.admission.table
+        if answer.not_run:
+            table.withdraw(call.call_id, now_ms)
+        else:
+            table.finish(call.call_id, answer, now_ms)
+        if answer.status:
+            self._suspects.ran_well(running.fingerprint, time.time())
+        taken_s = self._loop.time() - running.started_s
+        if not answer.not_run and not running.cancelled:
+            self._counter.count(call, answer, taken_s)
+        self._log_end(running, answer, taken_s)
+        promoted = self.admission.end(call.call_id, now_ms)
+        self._answer(call, running.done, answer)
+        for done in running.waiting:
+            self._tell_end(call, done)
+        self._start(promoted)
+
+    def _tell_end(self, call: messages.CallRequest, done: Revoked) -> None:
+        entry = self.admission.table.get(call.call_id)
+        ran = entry is not None and entry.answer is not None
+        done(
+            messages.CallRevoked(
+                call_id=call.call_id,
+                state=messages.RevokeState.FINISHED
+                if ran
+                else messages.RevokeState.REVOKED,
+                answer=entry.answer if entry is not None else None,
+            )
+        )
+
+    def _waited_too_long(self, running: _Running) -> None:
+        running.timer = None
+        if self.admission.give_up(running.call.call_id, self.now_ms()):
+            self._refuse_waiting(running, admission.OVERLOAD)
+            self._promote()
+
+    def _refuse_waiting(self, running: _Running, reason: str) -> None:
+        self._forget(running)
+        retry_after_ms = self.admission.retry_after_ms()
+        answer = admission.refusal(running.call, reason, retry_after_ms)
+        self._answer(running.call, running.done, answer)
+        for done in running.waiting:
+            self._tell_end(running.call, done)
+
+    def _forget(self, running: _Running) -> None:
+        self._running_by_id.pop(running.call.call_id, None)
+        if running.timer is not None:
+            running.timer.cancel()
+            running.timer = None
+
+    def _promote(self) -> None:
+        self._start(self.admission.promote(self.now_ms()))
+
+    def _start(self, call_ids: abc.Iterable[str]) -> None:
+        for call_id in call_ids:
+            running = self._running_by_id.get(call_id)
+            if running is not None:
+                self._execute(running)
+
+    def _answer(
+        self,
+        call: messages.CallRequest,
+        done: Done,
+        answer: messages.CallAnswer,
+    ) -> None:
+        if answer.not_run:
+            call_metrics.REFUSALS.labels(call.service, answer.not_run).inc()
+        done(
+            dataclasses.replace(
+                answer,
+                in_flight=self.admission.in_flight + self.admission.queued,
+                slots=self.admission.slots,
+                incarnation=self.incarnation,
+                clock_ms=self.now_ms(),
+            )
+        )
+
+    def _left_ms(self, running: _Running) -> int:
+        waited_ms = self.now_ms() - running.arrived_ms
+        return running.call.deadline_ms - waited_ms - _RETURN_MS
+
+    def _target_unreachable(
+        self, running: _Running, problem: errors.PeerUnavailable
+    ) -> None:
+        self._log.emit(
+            "target-unreachable",
+            {
+                "request": running.call.request_id,
+                "target": running.target.address,
+                "reason": problem.reason,
+            },
+            logging.WARNING,
+        )
+        refusal = admission.refusal(running.call, admission.UNREACHABLE)
+        self._finish(running, refusal)
+        refused = isinstance(problem, errors.ConnectionRefused)
+        if refused and self._target is running.target:
+            self._lose_target("target refuses connections")
+
+    def _target_crashed(self, running: _Running) -> None:
+        names = {
+            self._running_by_id[call_id].fingerprint
+            for call_id in self.admission.running_ids
+            if call_id in self._running_by_id
+        }
+        names.add(running.fingerprint)
+        self._crashes += 1
+        crash = f"{self._settings.node}/{self.incarnation}/{self._crashes}"
+        rows = self._suspects.crashed(names, crash, time.time())
+        self._log.emit(
+            "target-crashed",
+            {
+                "request": running.call.request_id,
+                "target": running.target.address,
+                "instance": running.target.instance,
+                "in_flight": self.admission.in_flight,
+                "suspects": len(rows),
+            },
+            logging.WARNING,
+        )
+        self._put(_effects.TargetCrashed(suspects=rows))
+        self._lose_target(CRASHED)
+
+    def _lose_target(self, reason: str) -> None:
+        """Refuse calls until a target announces itself again."""
+        self._target = None
+        self._put(_effects.Left(reason=reason))
+        for other in list(self._running_by_id.values()):
+            if self.admission.give_up(other.call.call_id, self.now_ms()):
+                self._refuse_waiting(other, admission.NO_TARGET)
+
+    def _replace_pool(self, address: str) -> None:
+        if self._pool is not None:
+            self._pool.close()
+        limit = self._settings.calls.connections
+        self._pool = http_client.Pool(address, limit)
+
+    def _pool_of(self, lease: http_client.Lease) -> http_client.Pool:
+        assert self._pool is not None
+        return self._pool
+
+    def _log_end(
+        self,
+        running: _Running,
+        answer: messages.CallAnswer,
+        taken_s: float,
+    ) -> None:
+        reason = answer.unknown or answer.not_run
+        if not reason:
+            return
+        call = running.call
+        self._log.emit(
+            "call-unknown" if answer.unknown else "call-not-started",
+            {
+                "request": call.request_id,
+                "call": call.call_id,
+                "service": call.service,
+                "version": call.version,
+                "target": running.target.instance,
+                "idempotent": int(call.idempotent),
+                "left_ms": self._left_ms(running),
+                "taken_ms": int(taken_s * 1000),
+                "reason": reason,
+            },
+        )
+
+
+async def _is_gone(address: str) -> bool:
+    """Tell whether nothing listens on a target's address."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(_PROBE_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
+def _turned_away(
+    call: messages.CallRequest, decision: admission.Decision
+) -> messages.CallAnswer:
+    if decision.refusal != revocation.DUPLICATE:
+        return admission.refusal(
+            call, decision.refusal, decision.retry_after_ms
+        )
+    # The same id has been admitted before, so nothing can be denied.
+    return _unknown(call, decision.refusal)
+
+
+def _unknown(call: messages.CallRequest, reason: str) -> messages.CallAnswer:
+    return messages.CallAnswer(
+        call_id=call.call_id, request_id=call.request_id, unknown=reason
+    )
+
+
+def _refusal_reason(
+    call: messages.CallRequest,
+    target: _effects.Announced | None,
+    treatment: quarantine.Treatment,
+) -> str:
+    if target is None:
+        return admission.NO_TARGET
+    if target.service != call.service or target.version != call.version:
+        return admission.WRONG_VERSION
+    if treatment is quarantine.Treatment.REFUSE:
+        return quarantine.POISON
+    return ""
--- /dev/null
+++ b/src/arbutusstall/_proxy/node.py
@@ -0,0 +1,227 @@
+"""Assembles a node process from its parts."""
+
+import asyncio
+import dataclasses
+import gc
+import random
+import signal
+import time
+
+from arbutusstall import _clock
+from arbutusstall import _core
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall._log import client
+from arbutusstall._log import source as sources
+from arbutusstall._proxy import control
+from arbutusstall._proxy import dialects
+from arbutusstall._proxy import frames
+from arbutusstall._proxy import http_server
+from arbutusstall._proxy import inbound
+from arbutusstall._proxy import outbound
+from arbutusstall._proxy import peers
+from arbutusstall._proxy import source_worker
+from arbutusstall._proxy import streams
+from arbutusstall._shell import events
+from arbutusstall._shell import log_worker
+from arbutusstall._systems import announcements
+
+_TARGET_CHECK_S = 0.5
+_STOP_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """What a node finds around it.
+
+    Attributes:
+        notice_s: Time for which a node that stops still takes requests,
+            until its callers have learned that it does.
+        grace_s: Time within which it has to end.
+        target_silent_s: Time without a heartbeat after which the target
+            is taken for dead.
+    """
+
+    dialect: dialects.Dialect
+    log: client.LogClient
+    source: sources.Source
+    notice_s: float
+    grace_s: float
+    target_silent_s: float
+
+
+class Node:
+    """All parts of one node process; needs a running event loop."""
+
+    def __init__(
+        self, settings: _settings.NodeSettings, surroundings: Surroundings
+    ) -> None:
+        incarnation = time.time_ns() // 1_000_000
+        self._settings = settings
+        self._surroundings = surroundings
+        self._loop = asyncio.get_running_loop()
+        self.log = events.EventLog(settings)
+        self.core = _core.NodeCore(settings, random.Random(), incarnation)
+        self._control = control.ControlLoop(
+            self.core, _clock.SystemClock(), settings.tick_s
+        )
+        self.inbound = inbound.Inbound(
+            settings,
+            surroundings.dialect,
+            incarnation,
+            self._control.put,
+            self.log,
+        )
+        self.outbound = outbound.Outbound(
+            settings,
+            surroundings.dialect,
+            peers.Peers(settings.node, self.inbound),
+            self.log,
+            f"{settings.node}-{incarnation:x}",
+        )
+        self._streams = streams.Streams(self._control.put)
+        self._acceptor = frames.FrameServer(
+            settings.addresses.inbound,
+            streams.Acceptor(self._streams, self.inbound).owner,
+        )
+        self._log_worker = log_worker.LogWorker(
+            surroundings.log, settings.log, self
+        )
+        self._source_worker = source_worker.SourceWorker(
+            surroundings.source, settings.log, self._control.put_from_thread
+        )
+        self._callers = http_server.HttpServer(
+            settings.addresses.callers, self.outbound
+        )
+        self._announcements = announcements.Announcements(
+            surroundings.target_silent_s
+        )
+        self._stopping = False
+        self._register()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return not self._stopping and self.core.tables.snapshot.version > 0
+
+    def put(self, event: _effects.Event) -> None:
+        """Queue an event for the decision logic; any thread may."""
+        self._control.put_from_thread(event)
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self.log.emit(
+            "node-starting",
+            {"incarnation": self.inbound.incarnation},
+        )
+        await self._acceptor.start()
+        await self._callers.start()
+        self.inbound.start()
+        self._control.start()
+        self._check_target()
+        # What exists now stays; the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        stopping = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, stopping.set)
+        await self.start()
+        await stopping.wait()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then end."""
+        began_s = self._loop.time()
+        self._stopping = True
+        self.log.emit("node-stopping")
+        self._callers.closing = True
+        self.inbound.drain()
+        self._control.put(_effects.Left(reason="node stops", stopping=True))
+        await asyncio.sleep(self._surroundings.notice_s)
+        self._callers.close_listener()
+        end_s = began_s + self._surroundings.grace_s
+        while self._is_busy() and self._loop.time() < end_s:
+            await asyncio.sleep(_STOP_POLL_S)
+        self._callers.close()
+        self._acceptor.close()
+        self.inbound.stop()
+        self.outbound.close()
+        self._log_worker.stop()
+        self._source_worker.stop()
+        await asyncio.sleep(0)
+        self._streams.close()
+        self._control.stop()
+        self.log.emit("node-stopped")
+
+    def announce(
+        self, announcement: announcements.Announcement
+    ) -> announcements.Verdict:
+        """Take a heartbeat of the target beside this node in."""
+        verdict = self._announcements.judge(announcement, self._loop.time())
+        if verdict is announcements.Verdict.LEAVING:
+            self._target_left(announcement.instance, "draining")
+        elif verdict is announcements.Verdict.SERVING and not self._stopping:
+            target = _effects.Announced(
+                service=announcement.service,
+                version=announcement.version,
+                address=announcement.address,
+                slots=announcement.slots,
+                instance=announcement.instance,
+                cold_s=announcement.cold_s,
+            )
+            self.inbound.announced(target)
+            self._control.put(target)
+        return verdict
+
+    def leave(self, instance: str) -> None:
+        """Note that the target beside this node ends."""
+        if self._announcements.leave(instance):
+            self._target_left(instance, "left")
+
+    def _target_left(self, instance: str, reason: str) -> None:
+        if not self.inbound.admission.draining:
+            self.log.emit(
+                "target-leaving", {"target": instance, "reason": reason}
+            )
+        self.inbound.target_left()
+        self._control.put(_effects.Left(reason=reason))
+
+    def _check_target(self) -> None:
+        if self._announcements.fell_silent(self._loop.time()):
+            self._target_left("-", "silent")
+        if not self._stopping:
+            self._loop.call_later(_TARGET_CHECK_S, self._check_target)
+
+    def _is_busy(self) -> bool:
+        return bool(self._callers.busy or self.inbound.in_flight)
+
+    def _register(self) -> None:
+        loop = self._control
+        loop.on(_effects.Append, self._log_worker.append)
+        loop.on(_effects.FollowLog, self._follow)
+        loop.on(_effects.StopLog, self._stop_reading)
+        loop.on(_effects.ReportRollout, self._source_worker.report)
+        loop.on(_effects.Connect, self._streams.connect)
+        loop.on(_effects.Disconnect, self._streams.disconnect)
+        loop.on(_effects.Send, self._streams.send)
+        loop.on(_effects.PutInForce, self._put_in_force)
+        loop.on(_effects.Suspected, self.inbound.suspected)
+        loop.on(_effects.Emit, self._emit)
+
+    def _follow(self, effect: _effects.FollowLog) -> None:
+        self._log_worker.follow(effect)
+        self._source_worker.follow(effect)
+
+    def _stop_reading(self, effect: _effects.StopLog) -> None:
+        self._log_worker.stop_reading(effect)
+        self._source_worker.stop_reading(effect)
+
+    def _put_in_force(self, effect: _effects.PutInForce) -> None:
+        self.outbound.put_in_force(effect)
+        self._callers.limits = effect.view.snapshot.limits
+
+    def _emit(self, effect: _effects.Emit) -> None:
+        self.log.emit(effect.event, effect.fields)
--- /dev/null
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -0,0 +1,499 @@
+"""The outbound proxy: takes callers' requests and routes them."""
+
+import asyncio
+import dataclasses
+import itertools
+import logging
+import random
+
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._proxy import dialects
+from arbutusstall._proxy import http_messages
+from arbutusstall._proxy import http_server
+from arbutusstall._proxy import inbound
+from arbutusstall._proxy import peers as peer_links
+from arbutusstall._shell import call_metrics
+from arbutusstall._shell import events
+from arbutusstall._systems import admission
+from arbutusstall._systems import attempts
+from arbutusstall._systems import balancing
+from arbutusstall._systems import routing
+from arbutusstall._tables import agreed
+from arbutusstall._tables import members
+from arbutusstall._wire import messages
+
+NO_ENDPOINT = "no endpoint"
+NO_CONFIGURATION = "no configuration yet"
+NO_ROUTE = "no route"
+TOO_DEEP = "too deep"
+TIMED_OUT = "no answer in time"
+
+_SAFE_METHODS = frozenset({"GET", "HEAD"})
+_SERVER_ERROR = 500
+# A ready answer that arrives a moment late is still passed on.
+_LATE_ANSWER_S = 0.12
+# Refusals before a start cost no endpoint anything.
+_MOST_REFUSALS = 3
+_NO_ENDPOINT_RETRY_MS = 300
+_NESTED_RANK = -1
+_OUT_OF_SERVICE = frozenset(
+    {
+        admission.DRAINING,
+        admission.NO_TARGET,
+        admission.UNREACHABLE,
+        admission.WRONG_VERSION,
+    }
+)
+_POINTLESS = frozenset({admission.LATE, inbound.CANCELLED})
+_TOUCHED_TARGET = frozenset({admission.SHED, admission.MISDIRECTED})
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Running:
+    exchange: http_server.Exchange
+    incoming: dialects.Incoming
+    route: agreed.Route
+    call: messages.CallRequest
+    started_s: float
+    end_s: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    refusals: int = 0
+    earlier_lost: bool = False
+    member: members.Member | None = None
+    peer: peer_links.Peer | None = None
+    timer: asyncio.TimerHandle | None = None
+    ended: bool = False
+
+
+class Outbound:
+    """Answers callers, by targets beside any node."""
+
+    def __init__(
+        self,
+        settings: _settings.NodeSettings,
+        dialect: dialects.Dialect,
+        peers: peer_links.Peers,
+        log: events.EventLog,
+        prefix: str,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._peers = peers
+        self._log = log
+        self._prefix = prefix
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random()
+        self._view = _effects.View()
+        self._balancer = balancing.Balancer(settings.data_centre, self._rng)
+        self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
+        self._numbers = itertools.count(1)
+        self._in_flight = 0
+
+    @property
+    def view(self) -> _effects.View:
+        """What calls are routed by now."""
+        return self._view
+
+    @property
+    def in_flight(self) -> int:
+        """Requests without an answer."""
+        return self._in_flight
+
+    def put_in_force(self, effect: _effects.PutInForce) -> None:
+        """Route by the effect's view from now on."""
+        view = effect.view
+        self._view = view
+        self._balancer.put_in_force(view, self._loop.time())
+        self._peers.keep_only(
+            {
+                row.node
+                for rows in view.members_by_service.values()
+                for row in rows
+            }
+        )
+
+    def handle(self, exchange: http_server.Exchange) -> None:
+        """Answer one request of a caller."""
+        try:
+            incoming = self._dialect.read_request(exchange.request)
+        except errors.WireError as exc:
+            self._fail(exchange, dialects.FailureKind.INVALID, "-", exc.reason)
+            return
+        view = self._view
+        request_id = incoming.request_id
+        route = routing.match(view, incoming.path, incoming.host)
+        if route is None:
+            known = view.snapshot.version > 0
+            self._fail(
+                exchange,
+                dialects.FailureKind.NO_ROUTE
+                if known
+                else dialects.FailureKind.NOT_RUN,
+                request_id,
+                NO_ROUTE if known else NO_CONFIGURATION,
+                retry_after_ms=_NO_ENDPOINT_RETRY_MS,
+            )
+            return
+        if incoming.depth >= self._settings.calls.max_depth:
+            kind = dialects.FailureKind.INVALID
+            self._fail(exchange, kind, request_id, TOO_DEEP)
+            return
+        running = self._begin(exchange, incoming, route)
+        self._attempt(running)
+
+    def close(self) -> None:
+        """Close the connections to other nodes."""
+        self._peers.close()
+
+    def _begin(
+        self,
+        exchange: http_server.Exchange,
+        incoming: dialects.Incoming,
+        route: agreed.Route,
+    ) -> _Running:
+        now_s = self._loop.time()
+        timeout_ms = route.timeout_ms
+        if incoming.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, incoming.deadline_ms)
+        service = routing.choose_service(route, self._rng)
+        self._budget(service).deposit()
+        running = _Running(
+            exchange=exchange,
+            incoming=incoming,
+            route=route,
+            call=_call(incoming, route, service, timeout_ms),
+            started_s=now_s,
+            end_s=now_s + timeout_ms / 1000,
+        )
+        running.timer = self._loop.call_at(
+            running.end_s + _LATE_ANSWER_S, self._timed_out, running
+        )
+        exchange.on_cancelled = lambda: self._cancelled(running)
+        self._in_flight += 1
+        return running
+
+    def _attempt(self, running: _Running) -> None:
+        """Send the request to the next endpoint, or give up."""
+        call = running.call
+        version = routing.choose_version(self._view, call.service, self._rng)
+        member = None
+        if version is not None:
+            member = self._balancer.choose(
+                self._view,
+                call.service,
+                version,
+                self._loop.time(),
+                running.tried,
+            )
+        left_ms = int((running.end_s - self._loop.time()) * 1000)
+        if version is None or member is None or left_ms <= 0:
+            self._give_up(
+                running,
+                attempts.Attempt(
+                    state=attempts.AttemptState.NOT_RUN,
+                    reason=NO_ENDPOINT if left_ms > 0 else TIMED_OUT,
+                    retry_after_ms=_NO_ENDPOINT_RETRY_MS,
+                ),
+            )
+            return
+        running.sends += 1
+        running.member = member
+        running.peer = self._peers.get(member)
+        running.call = dataclasses.replace(
+            call,
+            call_id=f"{self._prefix}-{next(self._numbers):x}",
+            version=version,
+            deadline_ms=left_ms,
+        )
+        running.tried.add(member.node)
+        self._balancer.sent(member.node)
+        call_id = running.call.call_id
+        running.peer.call(
+            running.call,
+            lambda result: self._answered(running, call_id, result),
+        )
+
+    def _answered(
+        self,
+        running: _Running,
+        call_id: str,
+        result: messages.CallAnswer | errors.ArbutusstallError,
+    ) -> None:
+        member = running.member
+        if member is None or running.call.call_id != call_id:
+            return
+        if running.ended:
+            return
+        if isinstance(result, messages.CallAnswer):
+            self._learn(member, result)
+            self._decide(running, _attempt_of(running.call, result))
+        elif isinstance(result, errors.PeerUnavailable):
+            self._failed(member, unreachable=True)
+            attempt = attempts.Attempt(
+                state=attempts.AttemptState.NOT_RUN, reason=result.reason
+            )
+            self._decide(running, attempt)
+        else:
+            self._failed(member, unreachable=False)
+            self._lost(running, result)
+
+    def _lost(
+        self, running: _Running, problem: errors.ArbutusstallError
+    ) -> None:
+        """Find out what became of a call whose connection has ended."""
+        call = running.call
+        peer = running.peer
+        if peer is None or call.idempotent:
+            attempt = attempts.from_revocation(None, problem.reason)
+            self._decide(running, attempt)
+            return
+        peer.revoke(
+            call,
+            lambda revoked: self._revoked(
+                running, call.call_id, revoked, problem.reason
+            ),
+        )
+
+    def _revoked(
+        self,
+        running: _Running,
+        call_id: str,
+        revoked: messages.CallRevoked | None,
+        reason: str,
+    ) -> None:
+        if running.ended or running.call.call_id != call_id:
+            return
+        state = revoked.state.value if revoked else "no answer"
+        call_metrics.REVOCATIONS.labels(state).inc()
+        self._decide(running, attempts.from_revocation(revoked, reason))
+
+    def _decide(self, running: _Running, attempt: attempts.Attempt) -> None:
+        """Answer the caller, or try another endpoint."""
+        call = running.call
+        if running.member is not None:
+            self._peers.forget(running.member.node, call.call_id)
+        step = attempts.next_step(
+            attempt,
+            idempotent=call.idempotent,
+            earlier_lost=running.earlier_lost,
+        )
+        if step is attempts.Step.ANSWER and attempt.answer is not None:
+            self._pass_on(running, attempt.answer)
+            return
+        lost = attempt.state is attempts.AttemptState.LOST
+        running.earlier_lost |= lost
+        if step is attempts.Step.RETRY and self._may_retry(running, attempt):
+            call_metrics.RETRIES.labels(call.service).inc()
+            self._attempt(running)
+            return
+        self._give_up(running, attempt)
+
+    def _may_retry(self, running: _Running, attempt: attempts.Attempt) -> bool:
+        if self._loop.time() >= running.end_s:
+            return False
+        reached = (
+            attempt.state is attempts.AttemptState.LOST
+            or attempt.reason in _TOUCHED_TARGET
+        )
+        if not reached:
+            running.refusals += 1
+            running.sends -= 1
+            return running.refusals <= _MOST_REFUSALS
+        limit = running.route.max_attempts or self._settings.calls.attempts
+        if running.sends >= limit:
+            return False
+        return self._budget(running.call.service).withdraw()
+
+    def _pass_on(self, running: _Running, answer: messages.CallAnswer) -> None:
+        response = self._dialect.answer(running.call, answer)
+        self._end(running, attempts.Step.ANSWER, response)
+
+    def _give_up(self, running: _Running, attempt: attempts.Attempt) -> None:
+        step = attempts.give_up(attempt, earlier_lost=running.earlier_lost)
+        not_run = step is attempts.Step.SAY_NOT_RUN
+        kind = dialects.FailureKind.UNKNOWN
+        if not_run:
+            kind = dialects.FailureKind.NOT_RUN
+        self._end_failed(running, step, kind, attempt)
+
+    def _timed_out(self, running: _Running) -> None:
+        running.timer = None
+        if running.ended:
+            return
+        if running.peer is not None:
+            running.peer.cancel(running.call)
+        if running.member is not None:
+            self._balancer.released(running.member.node)
+        self._end_failed(
+            running,
+            attempts.Step.SAY_UNKNOWN,
+            dialects.FailureKind.TIMEOUT,
+            attempts.Attempt(
+                state=attempts.AttemptState.LOST, reason=TIMED_OUT
+            ),
+        )
+
+    def _cancelled(self, running: _Running) -> None:
+        if running.ended:
+            return
+        if running.peer is not None:
+            running.peer.cancel(running.call)
+        if running.member is not None:
+            self._balancer.released(running.member.node)
+        self._finish(running, "cancelled")
+
+    def _end_failed(
+        self,
+        running: _Running,
+        step: attempts.Step,
+        kind: dialects.FailureKind,
+        attempt: attempts.Attempt,
+    ) -> None:
+        call = running.call
+        self._log.emit(
+            f"call-{step.value}",
+            {
+                "request": call.request_id,
+                "call": call.call_id,
+                "route": call.route,
+                "service": call.service,
+                "version": call.version,
+                "node": running.member.node if running.member else "-",
+                "config": self._view.snapshot.source_version
+                or self._view.snapshot.version,
+                "sends": running.sends,
+                "refusals": running.refusals,
+                "held_ms": self._held_ms(running),
+                "reason": attempt.reason,
+                "outcome": kind.value,
+            },
+        )
+        response = self._dialect.failure(
+            dialects.Failure(
+                kind=kind,
+                request_id=call.request_id,
+                reason=attempt.reason,
+                retry_after_ms=attempt.retry_after_ms,
+            )
+        )
+        self._end(running, step, response)
+
+    def _end(
+        self,
+        running: _Running,
+        step: attempts.Step,
+        response: http_messages.Response,
+    ) -> None:
+        exchange = running.exchange
+        self._finish(running, step.value)
+        exchange.answer(response)
+
+    def _finish(self, running: _Running, outcome: str) -> None:
+        running.ended = True
+        running.exchange.on_cancelled = None
+        self._in_flight -= 1
+        if running.timer is not None:
+            running.timer.cancel()
+            running.timer = None
+        call = running.call
+        call_metrics.CALLS.labels(call.service, call.version, outcome).inc()
+        call_metrics.LATENCY.labels(call.service).observe(
+            self._loop.time() - running.started_s
+        )
+
+    def _fail(
+        self,
+        exchange: http_server.Exchange,
+        kind: dialects.FailureKind,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        snapshot = self._view.snapshot
+        self._log.emit(
+            "call-refused",
+            {
+                "request": request_id,
+                "target": exchange.request.target,
+                "config": snapshot.source_version or snapshot.version,
+                "reason": reason,
+                "outcome": kind.value,
+            },
+            logging.INFO,
+        )
+        failure = dialects.Failure(
+            kind=kind,
+            request_id=request_id,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+        )
+        exchange.answer(self._dialect.failure(failure))
+
+    def _learn(
+        self, member: members.Member, answer: messages.CallAnswer
+    ) -> None:
+        if answer.not_run in _OUT_OF_SERVICE:
+            self._failed(member, unreachable=True)
+        elif answer.not_run:
+            self._balancer.loaded(
+                member.node, answer.in_flight, answer.slots, self._loop.time()
+            )
+        elif answer.unknown or answer.status >= _SERVER_ERROR:
+            self._failed(member, unreachable=False)
+        else:
+            self._balancer.answered(
+                member.node, answer.in_flight, answer.slots, self._loop.time()
+            )
+
+    def _failed(self, member: members.Member, *, unreachable: bool) -> None:
+        self._balancer.failed(member.node, self._loop.time(), unreachable)
+
+    def _budget(self, service: str) -> attempts.RetryBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = attempts.RetryBudget(self._settings.calls.retry_share)
+            self._budgets_by_service[service] = budget
+        return budget
+
+    def _held_ms(self, running: _Running) -> int:
+        return int((self._loop.time() - running.started_s) * 1000)
+
+
+def _attempt_of(
+    call: messages.CallRequest, answer: messages.CallAnswer
+) -> attempts.Attempt:
+    attempt = attempts.from_answer(answer)
+    lost = attempt.state is attempts.AttemptState.LOST
+    if lost and call.idempotent and attempt.reason not in _POINTLESS:
+        return dataclasses.replace(attempt, retryable=True)
+    return attempt
+
+
+def _call(
+    incoming: dialects.Incoming,
+    route: agreed.Route,
+    service: str,
+    deadline_ms: int,
+) -> messages.CallRequest:
+    safe = incoming.method in _SAFE_METHODS and not route.strict
+    return messages.CallRequest(
+        call_id="",
+        request_id=incoming.request_id,
+        incarnation=0,
+        sent_ms=0,
+        service=service,
+        version="",
+        route=route.prefix,
+        method=incoming.method,
+        path=incoming.target,
+        headers=incoming.headers,
+        body=incoming.body,
+        deadline_ms=deadline_ms,
+        idempotent=route.idempotent or safe,
+        key=incoming.key,
+        depth=incoming.depth,
+        rank=_NESTED_RANK if incoming.nested else route.priority,
+    )
--- /dev/null
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -0,0 +1,106 @@
+"""Threads that read an external source and report to it."""
+
+from collections import abc
+from concurrent import futures
+import random
+import threading
+
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._log import source as sources
+
+_MAX_EXPONENT = 16
+
+
+class SourceWorker:
+    """Follows a source while the node reads the log.
+
+    Args:
+        put: Takes the events; called from the worker's threads.
+    """
+
+    def __init__(
+        self,
+        source: sources.Source,
+        settings: _settings.LogSettings,
+        put: abc.Callable[[_effects.Event], None],
+    ) -> None:
+        self._source = source
+        self._settings = settings
+        self._put = put
+        self._rng = random.Random()
+        self._stop = threading.Event()
+        self._stopped = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(max_workers=2)
+        self._lock = threading.Lock()
+        self._newest_by_service: dict[str, _effects.ReportRollout] = {}
+
+    def follow(self, effect: _effects.FollowLog) -> None:
+        """Begin to read."""
+        self.stop_reading()
+        self._stop = threading.Event()
+        self._pool.submit(self._read, self._stop)
+
+    def stop_reading(self, effect: _effects.StopLog | None = None) -> None:
+        """End the reading after its current request."""
+        self._stop.set()
+
+    def report(self, effect: _effects.ReportRollout) -> None:
+        """Report until it is stored, or until there is a newer report."""
+        with self._lock:
+            self._newest_by_service[effect.service] = effect
+        self._pool.submit(self._report, effect)
+
+    def stop(self) -> None:
+        """End all threads after their current requests."""
+        self._stop.set()
+        self._stopped.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _read(self, stop: threading.Event) -> None:
+        failures = 0
+        position: int | None = None
+        while not stop.is_set():
+            try:
+                if position is None:
+                    read = self._source.read_all()
+                else:
+                    wait_s = self._settings.poll_s
+                    read = self._source.read_on(position, wait_s)
+            except errors.LogUnavailable as exc:
+                position = None
+                if not failures:
+                    self._tell(available=False, reason=exc.reason)
+                stop.wait(self._back_off_s(failures))
+                failures += 1
+                continue
+            if failures:
+                self._tell(available=True)
+            failures = 0
+            position = read.position
+            for event in read.events:
+                self._put(event)
+
+    def _tell(self, *, available: bool, reason: str = "") -> None:
+        self._put(_effects.SourceChanged(available=available, reason=reason))
+
+    def _report(self, report: _effects.ReportRollout) -> None:
+        failures = 0
+        while not self._stopped.is_set():
+            with self._lock:
+                newest = self._newest_by_service[report.service]
+            if newest is not report:
+                return
+            try:
+                self._source.report(report)
+            except errors.LogUnavailable:
+                self._stopped.wait(self._back_off_s(failures))
+                failures += 1
+                continue
+            return
+
+    def _back_off_s(self, failures: int) -> float:
+        settings = self._settings
+        top_s = settings.retry_base_s * 2.0 ** min(failures, _MAX_EXPONENT)
+        return self._rng.uniform(0.0, min(settings.retry_cap_s, top_s))
--- /dev/null
+++ b/src/arbutusstall/_proxy/streams.py
@@ -0,0 +1,223 @@
+"""Streams between nodes for configuration and membership."""
+
+import asyncio
+from collections import abc
+import logging
+
+from arbutusstall import _effects
+from arbutusstall import errors
+from arbutusstall._proxy import frames
+from arbutusstall._proxy import inbound
+from arbutusstall._wire import messages
+
+LOG = logging.getLogger(__name__)
+
+_CONNECT_S = 1.0
+
+
+class _Stream:
+    """One open stream; ``peer`` is an address until the node is known."""
+
+    def __init__(self, streams: "Streams", peer: str) -> None:
+        self.peer = peer
+        self.connection: frames.FrameConnection | None = None
+        # Set when this side closed the stream: it needs no notice then.
+        self.dropped = False
+        self._streams = streams
+
+    def send(self, data: bytes) -> None:
+        if self.connection is not None:
+            self.connection.send_encoded(data)
+
+    def drop(self) -> None:
+        self.dropped = True
+        if self.connection is not None:
+            self.connection.close()
+
+    def on_message(
+        self,
+        connection: frames.FrameConnection,
+        message: messages.Message,
+    ) -> None:
+        if isinstance(message, messages.Welcome | messages.Refusal):
+            self._streams.rename(self, message.node)
+        if not self.dropped:
+            self._streams.received(self, message)
+
+    def on_lost(self, connection: frames.FrameConnection, reason: str) -> None:
+        self._streams.closed(self, reason)
+
+
+class Streams:
+    """Carries out the link effects of a core.
+
+    Args:
+        put: Takes the events.
+    """
+
+    def __init__(self, put: abc.Callable[[_effects.Event], None]) -> None:
+        self._put = put
+        self._streams_by_peer: dict[str, _Stream] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._last: tuple[messages.Message, bytes] | None = None
+
+    def connect(self, effect: _effects.Connect) -> None:
+        """Open a stream to another node."""
+        stream = _Stream(self, effect.address)
+        self._register(stream)
+        task = asyncio.get_running_loop().create_task(
+            self._open(stream, effect)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def accept(
+        self, connection: frames.FrameConnection, hello: messages.Hello
+    ) -> None:
+        """Use a connection that another node has opened."""
+        stream = _Stream(self, hello.node)
+        stream.connection = connection
+        connection.owner = stream
+        self._register(stream)
+        self._put(_effects.Received(peer=hello.node, message=hello))
+
+    def disconnect(self, effect: _effects.Disconnect) -> None:
+        """Close the stream to a peer after what was sent to it."""
+        stream = self._streams_by_peer.pop(effect.peer, None)
+        if stream is not None:
+            stream.drop()
+
+    def send(self, effect: _effects.Send) -> None:
+        """Send a message over the stream to a peer."""
+        stream = self._streams_by_peer.get(effect.peer)
+        if stream is not None:
+            stream.send(self._encode(effect.message))
+
+    def close(self) -> None:
+        """Close all streams."""
+        for stream in list(self._streams_by_peer.values()):
+            stream.drop()
+        self._streams_by_peer.clear()
+
+    def received(self, stream: _Stream, message: messages.Message) -> None:
+        """Hand a message on."""
+        self._put(_effects.Received(peer=stream.peer, message=message))
+
+    def rename(self, stream: _Stream, peer: str) -> None:
+        """Keep a stream under the node that it turned out to lead to."""
+        if self._streams_by_peer.get(stream.peer) is stream:
+            del self._streams_by_peer[stream.peer]
+        stream.peer = peer
+        if not stream.dropped:
+            self._register(stream)
+
+    def closed(self, stream: _Stream, reason: str) -> None:
+        """Forget a stream that has ended."""
+        if self._streams_by_peer.get(stream.peer) is stream:
+            del self._streams_by_peer[stream.peer]
+        if stream.dropped:
+            return
+        stream.dropped = True
+        self._put(_effects.LinkLost(peer=stream.peer, reason=reason))
+
+    async def _open(self, stream: _Stream, effect: _effects.Connect) -> None:
+        try:
+            connection = await frames.connect(
+                effect.address, stream, _CONNECT_S
+            )
+        except errors.PeerUnavailable as exc:
+            self.closed(stream, exc.reason)
+            return
+        if stream.dropped:
+            connection.close()
+            return
+        stream.connection = connection
+        connection.send(effect.hello)
+
+    def _register(self, stream: _Stream) -> None:
+        old = self._streams_by_peer.get(stream.peer)
+        self._streams_by_peer[stream.peer] = stream
+        if old is not None and old is not stream:
+            old.drop()
+
+    def _encode(self, message: messages.Message) -> bytes:
+        # Children get the same object one after the other.
+        if self._last is None or self._last[0] is not message:
+            self._last = (message, messages.encode(message))
+        return self._last[1]
+
+
+class Acceptor:
+    """Serves the connections that other nodes open.
+
+    The first message tells what a connection is for.
+    """
+
+    def __init__(self, streams: Streams, proxy: inbound.Inbound) -> None:
+        self._streams = streams
+        self._proxy = proxy
+
+    def owner(self) -> frames.Owner:
+        """Return the owner of a new connection."""
+        return _Caller(self._streams, self._proxy)
+
+
+class _Caller:
+    """One connection of another node's outbound proxy."""
+
+    def __init__(self, streams: Streams, proxy: inbound.Inbound) -> None:
+        self._streams = streams
+        self._proxy = proxy
+        self._call_ids: set[str] = set()
+
+    def on_message(
+        self,
+        connection: frames.FrameConnection,
+        message: messages.Message,
+    ) -> None:
+        match message:
+            case messages.CallRequest():
+                self._call(connection, message)
+            case messages.CallRevoke(cancel=True):
+                self._call_ids.discard(message.call_id)
+                self._proxy.cancel(message.call_id)
+            case messages.CallRevoke():
+                self._proxy.revoke(
+                    message, lambda revoked: _reply(connection, revoked)
+                )
+            case messages.CallGreeting():
+                connection.send(self._proxy.greet())
+            case messages.Hello():
+                self._streams.accept(connection, message)
+            case _:
+                LOG.warning(
+                    {
+                        "event": "message-unexpected",
+                        "kind": type(message).__name__,
+                    }
+                )
+                connection.abort()
+
+    def on_lost(self, connection: frames.FrameConnection, reason: str) -> None:
+        for call_id in list(self._call_ids):
+            self._proxy.abandon(call_id)
+        self._call_ids.clear()
+
+    def _call(
+        self,
+        connection: frames.FrameConnection,
+        call: messages.CallRequest,
+    ) -> None:
+        self._call_ids.add(call.call_id)
+
+        def answered(answer: messages.CallAnswer) -> None:
+            self._call_ids.discard(call.call_id)
+            connection.send(answer)
+
+        self._proxy.submit(call, answered)
+
+
+def _reply(
+    connection: frames.FrameConnection, message: messages.Message
+) -> None:
+    connection.send(message)
--- a/src/arbutusstall/_shell/log_worker.py
+++ b/src/arbutusstall/_shell/log_worker.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import random
 import threading
+from typing import Protocol
 
 from arbutusstall import _clock
 from arbutusstall import _effects
@@ -11,12 +12,19 @@
 from arbutusstall._log import client
 from arbutusstall._log import pending
 from arbutusstall._log import records
-from arbutusstall._shell import control
 
 _APPENDERS = 2
 _MAX_EXPONENT = 16
 
 
+class EventSink(Protocol):
+    """Takes events from any thread."""
+
+    def put(self, event: _effects.Event) -> None:
+        """Queue an event."""
+        ...
+
+
 class LogWorker:
     """Carries out the log effects of a core."""
 
@@ -24,7 +32,7 @@
         self,
         log: client.LogClient,
         settings: _settings.LogSettings,
-        loop: control.ControlLoop,
+        loop: EventSink,
         clock: _clock.Clock | None = None,
     ) -> None:
         self._log = log
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -1,6 +1,5 @@
 """Decides at the inbound proxy which requests may start, and when."""
 
-import collections
 from collections import abc
 import dataclasses
 import enum
@@ -15,6 +14,7 @@
 WRONG_VERSION = "wrong version"
 UNREACHABLE = "target unreachable"
 SHED = "target shed load"
+MISDIRECTED = "another target has the address"
 
 _SMOOTHING = 0.1
 _START_SERVICE_MS = 10.0
@@ -36,18 +36,23 @@
     Attributes:
         refusal: Why it may not, if the verdict is to refuse.
         wait_ms: How long it may wait, if the verdict is to wait.
+        evicted: Ids of waiting requests that are refused, because this
+            one goes before them and they would now wait too long.
     """
 
     verdict: Verdict
     refusal: str = ""
     retry_after_ms: int = 0
     wait_ms: int = 0
+    evicted: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Waiting:
     call_id: str
     solo: bool
+    rank: int
+    until_ms: int
 
 
 class Admission:
@@ -76,7 +81,7 @@
         self._queue_ms = queue_ms
         self._started_ms_by_id: dict[str, int] = {}
         self._solo_id = ""
-        self._queue: collections.deque[_Waiting] = collections.deque()
+        self._queue: list[_Waiting] = []
         self._service_ms = _START_SERVICE_MS
 
     @property
@@ -100,12 +105,14 @@
         now_ms: int,
         deadline_ms: int,
         solo: bool = False,
+        rank: int = 0,
     ) -> Decision:
         """Ask for a slot.
 
         Args:
             deadline_ms: Time left to the caller's deadline.
             solo: Whether the request must be alone at the target.
+            rank: Requests of a lower rank start first.
         """
         if self.table.get(ticket.call_id) is not None:
             return _refuse(self.table.admit(ticket, now_ms))
@@ -113,22 +120,39 @@
             return self.refuse(ticket, DRAINING, now_ms)
         if now_ms - ticket.sent_ms > deadline_ms:
             return self.refuse(ticket, LATE, now_ms)
-        expected_ms = self._expected_wait_ms()
+        place = self._place(rank)
+        expected_ms = self._expected_wait_ms(place)
         waits = self._must_wait(solo)
         patience_ms = min(self._queue_ms, deadline_ms - int(self._service_ms))
         full = len(self._queue) >= self._queue_limit
-        if waits and (full or expected_ms > patience_ms):
-            retry_after_ms = max(_MIN_RETRY_AFTER_MS, expected_ms)
-            return self.refuse(ticket, OVERLOAD, now_ms, retry_after_ms)
+        if waits and (
+            expected_ms > patience_ms or (full and place == len(self._queue))
+        ):
+            return self.refuse(ticket, OVERLOAD, now_ms, self.retry_after_ms())
         refusal = self.table.admit(ticket, now_ms)
         if refusal:
             return _refuse(refusal)
         if waits:
-            self._queue.append(_Waiting(call_id=ticket.call_id, solo=solo))
-            return Decision(verdict=Verdict.WAIT, wait_ms=patience_ms)
+            waiting = _Waiting(
+                call_id=ticket.call_id,
+                solo=solo,
+                rank=rank,
+                until_ms=now_ms + patience_ms,
+            )
+            self._queue.insert(place, waiting)
+            return Decision(
+                verdict=Verdict.WAIT,
+                wait_ms=patience_ms,
+                evicted=self._evict(place + 1, now_ms),
+            )
         self._start(ticket.call_id, solo, now_ms)
         return Decision(verdict=Verdict.START)
 
+    def retry_after_ms(self) -> int:
+        """Return the time after which a slot is likely to be free."""
+        wait_ms = self._expected_wait_ms(len(self._queue))
+        return max(_MIN_RETRY_AFTER_MS, wait_ms)
+
     def refuse(
         self,
         ticket: revocation.Ticket,
@@ -146,9 +170,7 @@
         """Take a request out of the queue; false if it has started."""
         if call_id in self._started_ms_by_id:
             return False
-        self._queue = collections.deque(
-            item for item in self._queue if item.call_id != call_id
-        )
+        self._queue = [item for item in self._queue if item.call_id != call_id]
         self.table.withdraw(call_id, now_ms)
         return True
 
@@ -165,7 +187,7 @@
         """Start the requests at the head of the queue that may start."""
         started = []
         while self._queue and self._has_room(self._queue[0].solo):
-            item = self._queue.popleft()
+            item = self._queue.pop(0)
             if self._start(item.call_id, item.solo, now_ms):
                 started.append(item.call_id)
         return tuple(started)
@@ -188,8 +210,31 @@
             self._solo_id = call_id
         return True
 
-    def _expected_wait_ms(self) -> int:
-        turns = (len(self._queue) + 1) / max(1, self.slots)
+    def _place(self, rank: int) -> int:
+        place = len(self._queue)
+        while place and self._queue[place - 1].rank > rank:
+            place -= 1
+        return place
+
+    def _evict(self, first: int, now_ms: int) -> tuple[str, ...]:
+        """Withdraw those from ``first`` on that would wait too long."""
+        if first == len(self._queue):
+            return ()
+        kept = self._queue[:first]
+        evicted = []
+        for item in self._queue[first:]:
+            wait_ms = self._expected_wait_ms(len(kept))
+            full = len(kept) >= self._queue_limit
+            if full or now_ms + wait_ms > item.until_ms:
+                self.table.withdraw(item.call_id, now_ms)
+                evicted.append(item.call_id)
+            else:
+                kept.append(item)
+        self._queue = kept
+        return tuple(evicted)
+
+    def _expected_wait_ms(self, ahead: int) -> int:
+        turns = (ahead + 1) / max(1, self.slots)
         return int(turns * self._service_ms)
 
 
@@ -220,6 +265,7 @@
         WRONG_VERSION,
         UNREACHABLE,
         SHED,
+        MISDIRECTED,
         revocation.WRONG_INCARNATION,
         revocation.TOO_OLD,
     }
--- /dev/null
+++ b/src/arbutusstall/_systems/announcements.py
@@ -0,0 +1,92 @@
+"""Judges what targets say of themselves to the node beside them."""
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Announcement:
+    """A heartbeat of a target.
+
+    Attributes:
+        instance: Names one start of the target; a target may start again
+            under a name that it had.
+        born_ms: Time of that start, milliseconds since the epoch; zero
+            if it is not known.
+        sequence: Grows with each heartbeat of one start.
+        cold_s: How much longer the target is slow, in seconds.
+    """
+
+    instance: str
+    service: str
+    version: str
+    address: str
+    slots: int
+    sequence: int
+    draining: bool = False
+    born_ms: int = 0
+    cold_s: float = 0.0
+
+
+class Verdict(enum.Enum):
+    """What an announcement means."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    OUTDATED = "outdated"
+
+
+class Announcements:
+    """The newest announcement of the target beside a node.
+
+    Args:
+        silent_s: Time without an announcement after which the target is
+            taken for dead.
+    """
+
+    def __init__(self, silent_s: float) -> None:
+        self._silent_s = silent_s
+        self._newest: Announcement | None = None
+        self._heard_s = 0.0
+        self._left_instances: dict[str, int] = {}
+
+    @property
+    def newest(self) -> Announcement | None:
+        """The newest announcement; None after the target has left."""
+        return self._newest
+
+    def judge(self, new: Announcement, now_s: float) -> Verdict:
+        """Take an announcement in."""
+        left_ms = self._left_instances.get(new.instance)
+        if left_ms is not None and new.born_ms <= left_ms:
+            return Verdict.OUTDATED
+        old = self._newest
+        if old is not None and _is_older(new, old):
+            return Verdict.OUTDATED
+        self._newest = new
+        self._heard_s = now_s
+        return Verdict.LEAVING if new.draining else Verdict.SERVING
+
+    def leave(self, instance: str) -> bool:
+        """Note that a target ends; false if it is not the one here."""
+        old = self._newest
+        if old is None or old.instance != instance:
+            return False
+        self._left_instances[instance] = old.born_ms
+        self._newest = None
+        return True
+
+    def fell_silent(self, now_s: float) -> bool:
+        """Tell once that the target has not been heard for too long."""
+        old = self._newest
+        if old is None or now_s - self._heard_s < self._silent_s:
+            return False
+        self._newest = None
+        return True
+
+
+def _is_older(new: Announcement, old: Announcement) -> bool:
+    if new.born_ms != old.born_ms:
+        return new.born_ms < old.born_ms
+    # Sequences count anew with each start.
+    return new.instance == old.instance and new.sequence < old.sequence
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -109,6 +109,19 @@
             old, outstanding=max(0, old.outstanding - 1)
         )
 
+    def loaded(
+        self, node: str, in_flight: int, slots: int, now_s: float
+    ) -> None:
+        """Note the load that a refusal of ``node`` carried."""
+        old = self._get(node)
+        self._endpoints_by_node[node] = dataclasses.replace(
+            old,
+            outstanding=max(0, old.outstanding - 1),
+            in_flight=in_flight,
+            slots=slots,
+            reported_s=now_s,
+        )
+
     def answered(
         self, node: str, in_flight: int, slots: int, now_s: float
     ) -> None:
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -60,8 +60,10 @@
     """Tell whether a route or share names a service that is not there."""
     services = snapshot.services_by_name
     routes = snapshot.routes_by_prefix.values()
-    return any(route.service not in services for route in routes) or any(
-        service not in services for service in snapshot.shares_by_service
+    named = {name for route in routes for name in route.services}
+    return not (
+        named <= services.keys()
+        and snapshot.shares_by_service.keys() <= services.keys()
     )
 
 
--- a/src/arbutusstall/_systems/moving.py
+++ b/src/arbutusstall/_systems/moving.py
@@ -20,8 +20,9 @@
     }
     routes: dict[str, list[str]] = {name: [] for name in rollouts}
     for route in snapshot.routes_by_prefix.values():
-        if route.service in routes:
-            routes[route.service].append(route.prefix)
+        for service in route.services:
+            if service in routes:
+                routes[service].append(route.prefix)
     return comparisons.Moving(
         snapshot=snapshot,
         rollouts_by_service=rollouts,
--- /dev/null
+++ b/src/arbutusstall/_systems/publication.py
@@ -0,0 +1,223 @@
+"""Takes what an external source publishes into the log, and reports back.
+
+Every root reads the source. The leader appends first; the others follow
+one after the other if the fold does not show the publication by then.
+"""
+
+import dataclasses
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall._log import records
+from arbutusstall._systems import lease
+from arbutusstall._systems import progress
+from arbutusstall._systems import rendezvous
+from arbutusstall._systems import routing
+from arbutusstall._tables import agreed
+from arbutusstall._tables import members
+from arbutusstall._tables import node
+
+_TURN_S = 0.25
+_AGAIN_S = 1.0
+# The old version's targets may stop as soon as the end is reported, so
+# every node has to route by it, and their last calls have to end.
+_SETTLE_S = 1.0
+_MOST_SETTLE_S = 3.0
+
+
+def on_published(
+    tables: node.Tables, event: _effects.Published, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Keep a whole configuration that is newer than the known one."""
+    table = tables.publications
+    known = table.configuration
+    if known is not None and event.source_version <= known.source_version:
+        return []
+    table.configuration = records.ConfigurationRecord(
+        record_id=f"configuration/{event.source_version}",
+        source_version=event.source_version,
+        services=event.services,
+        routes=event.routes,
+        limits=event.limits,
+    )
+    table.configuration_due_s = now.mono_s + _turn_s(tables, now)
+    effects: list[_effects.Effect] = [
+        _effects.Emit(
+            event="configuration-read",
+            fields={
+                "source_version": event.source_version,
+                "in_force": tables.snapshot.source_version,
+                "routes": len(event.routes),
+            },
+        )
+    ]
+    return effects + _append_configuration(tables, now)
+
+
+def on_ordered(
+    tables: node.Tables, event: _effects.Ordered, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Keep an order that is not folded yet."""
+    table = tables.publications
+    if event.order_id in table.orders_by_id or _is_folded(
+        tables, event.order_id, event.service
+    ):
+        return []
+    table.orders_by_id[event.order_id] = records.RolloutOrder(
+        record_id=event.order_id,
+        order_id=event.order_id,
+        service=event.service,
+        version=event.version,
+        previous="",
+        started_s=now.wall_s,
+        by_s=now.wall_s + event.duration_s,
+        outcome=event.outcome,
+    )
+    table.order_due_s_by_id[event.order_id] = now.mono_s + _turn_s(tables, now)
+    effects: list[_effects.Effect] = [
+        _effects.Emit(
+            event="rollout-ordered",
+            fields={
+                "order": event.order_id,
+                "service": event.service,
+                "version": event.version,
+                "duration_s": event.duration_s,
+            },
+        )
+    ]
+    return effects + _append_orders(tables, now)
+
+
+def on_source_changed(
+    tables: node.Tables, event: _effects.SourceChanged, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Say that the source is lost or back."""
+    name = "source-regained" if event.available else "source-lost"
+    return [_effects.Emit(event=name, fields={"reason": event.reason or "-"})]
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Append what is due, and report how rollouts stand."""
+    effects = _append_configuration(tables, now)
+    effects += _append_orders(tables, now)
+    if lease.is_leader(tables, now):
+        effects += _reports(tables, now)
+    return effects
+
+
+def _append_configuration(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    table = tables.publications
+    record = table.configuration
+    if record is None or not _may_append(tables):
+        return []
+    folded = tables.agreed.snapshot.source_version
+    if record.source_version <= folded or now.mono_s < (
+        table.configuration_due_s
+    ):
+        return []
+    table.configuration_due_s = now.mono_s + _AGAIN_S
+    return [_effects.Append(record=record)]
+
+
+def _append_orders(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    table = tables.publications
+    effects: list[_effects.Effect] = []
+    if not _may_append(tables):
+        return effects
+    for order_id, order in list(table.orders_by_id.items()):
+        if _is_folded(tables, order_id, order.service):
+            del table.orders_by_id[order_id]
+            del table.order_due_s_by_id[order_id]
+            continue
+        previous = _previous(tables, order)
+        if now.mono_s < table.order_due_s_by_id[order_id] or not previous:
+            continue
+        table.order_due_s_by_id[order_id] = now.mono_s + _AGAIN_S
+        record = dataclasses.replace(order, previous=previous)
+        effects.append(_effects.Append(record=record))
+    return effects
+
+
+def _may_append(tables: node.Tables) -> bool:
+    return tables.is_root and tables.caught_up and not tables.relay.leaving
+
+
+def _turn_s(tables: node.Tables, now: _clock.Instant) -> float:
+    """Return how long to leave the append to others."""
+    if lease.is_leader(tables, now):
+        return 0.0
+    names = {root.node for root in tables.agreed.roots_by_key.values()}
+    holder = tables.agreed.lease.holder
+    ordered = rendezvous.order("publication", names - {holder})
+    own = tables.member.node
+    place = ordered.index(own) if own in ordered else len(ordered)
+    return _TURN_S * (place + 1)
+
+
+def _previous(tables: node.Tables, order: records.RolloutOrder) -> str:
+    """Return the version that carries the service's traffic now."""
+    shares = tables.agreed.snapshot.shares_by_service.get(order.service)
+    if shares is not None:
+        percents = shares.percent_by_version
+        return max(percents, key=lambda name: percents[name])
+    versions = {
+        row.version
+        for row in tables.members_by_node.values()
+        if row.service == order.service
+        and row.state is members.MemberState.SERVING
+        and row.version != order.version
+    }
+    return routing.lowest_version(versions) or ""
+
+
+def _is_folded(tables: node.Tables, order_id: str, service: str) -> bool:
+    rollout_id = f"{order_id}/{service}"
+    state = tables.agreed
+    return (
+        rollout_id in state.snapshot.rollouts_by_id
+        or rollout_id in state.ended_rollouts_by_id
+    )
+
+
+def _reports(
+    tables: node.Tables, now: _clock.Instant
+) -> list[_effects.Effect]:
+    table = tables.publications
+    newest: dict[str, agreed.Rollout] = {}
+    for rollout in tables.agreed.snapshot.rollouts_by_id.values():
+        known = newest.get(rollout.service)
+        if known is None or rollout.offset > known.offset:
+            newest[rollout.service] = rollout
+    effects: list[_effects.Effect] = []
+    for service, rollout in newest.items():
+        told = (rollout.rollout_id, rollout.state)
+        if table.reported_by_service.get(service) == told:
+            continue
+        if not _is_settled(tables, rollout, now):
+            continue
+        table.reported_by_service[service] = told
+        version = next(iter(rollout.goal), "")
+        effects.append(
+            _effects.ReportRollout(
+                service=service, version=version, state=rollout.state
+            )
+        )
+    return effects
+
+
+def _is_settled(
+    tables: node.Tables, rollout: agreed.Rollout, now: _clock.Instant
+) -> bool:
+    if rollout.state is not agreed.RolloutState.DONE:
+        return True
+    ended = tables.publications.ended_s_by_rollout
+    since_s = ended.setdefault(rollout.rollout_id, now.mono_s)
+    age_s = now.mono_s - since_s
+    if age_s < _SETTLE_S:
+        return False
+    mesh = progress.mesh(tables)
+    return mesh.in_force >= mesh.known or age_s >= _MOST_SETTLE_S
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -25,9 +25,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A named back end that targets announce themselves for."""
+    """A named back end that targets announce themselves for.
+
+    Attributes:
+        max_connections: Connections that a target accepts; 0 if the
+            node's own settings apply.
+    """
 
     name: str
+    max_connections: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceWeight:
+    """One part of a route's traffic; weights are relative."""
+
+    service: str
+    weight: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,17 +49,52 @@
     """Maps a path prefix to a service.
 
     Attributes:
-        prefix: Path prefix; the longest match wins.
+        prefix: Path prefix; the longest match wins. With a host name
+            before the first slash it matches that host only.
         service: Name of the service that answers.
-        timeout_ms: Deadline of a request that names none itself.
+        timeout_ms: Deadline of a request that names none itself; no
+            request is kept waiting for longer.
         idempotent: Whether every method may be executed twice; if not,
             only GET and HEAD may.
+        strict: Whether ``idempotent`` decides alone, whatever the
+            method.
+        split: Services that share the route's traffic by weight; if
+            empty, all goes to ``service``.
+        max_attempts: Most targets that one request is sent to; 0 if the
+            node's own settings apply.
+        target_latency_ms: Latency objective; 0 if there is none.
+        priority: Rank under pressure, 0 is the highest.
     """
 
     prefix: str
     service: str
     timeout_ms: int = 5_000
     idempotent: bool = False
+    strict: bool = False
+    split: tuple[ServiceWeight, ...] = ()
+    max_attempts: int = 0
+    target_latency_ms: int = 0
+    priority: int = 0
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Every service that may answer."""
+        if not self.split:
+            return (self.service,)
+        return tuple(part.service for part in self.split)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and for how long it may take or stay idle.
+
+    Times are in milliseconds, sizes in bytes.
+    """
+
+    header_bytes: int = 64 * 1024
+    body_bytes: int = 16 * 1024 * 1024
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -192,9 +241,14 @@
         blocked: Versions that the newest verdicts of each service
             rolled back, as ``"service/version"``; they get no traffic
             until a release names them again.
+        source_version: Version of the newest whole configuration that
+            an external source has published; zero if there is none.
+        limits: What callers may send.
     """
 
     version: int = 0
+    source_version: int = 0
+    limits: CallerLimits = CallerLimits()
     services_by_name: abc.Mapping[str, Service] = dataclasses.field(
         default_factory=dict
     )
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -12,6 +12,7 @@
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import publications as publication_tables
 from arbutusstall._tables import relay as relay_tables
 
 
@@ -115,6 +116,9 @@
     spread: relay_tables.SpreadTable = dataclasses.field(
         default_factory=relay_tables.SpreadTable
     )
+    publications: publication_tables.PublicationTable = dataclasses.field(
+        default_factory=publication_tables.PublicationTable
+    )
     history: collections.OrderedDict[int, agreed_tables.Snapshot] = (
         dataclasses.field(default_factory=collections.OrderedDict)
     )
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -206,6 +206,7 @@
         version: Version of the service the caller's proxy chose.
         key: The caller's Idempotency-Key, empty if there is none.
         depth: Number of calls above this one in the chain.
+        rank: Requests of a lower rank start first.
     """
 
     call_id: str
@@ -223,6 +224,7 @@
     idempotent: bool
     key: str = ""
     depth: int = 0
+    rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/errors.py
+++ b/src/arbutusstall/errors.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ArbutusstallError",
+    "ConnectionRefused",
     "InvalidFile",
     "LogOverloaded",
     "LogUnavailable",
@@ -56,6 +57,10 @@
     """Another node could not be reached, so nothing was sent to it."""
 
 
+class ConnectionRefused(PeerUnavailable):
+    """Nothing listens at the address of the other side."""
+
+
 class WireError(ArbutusstallError):
     """A message from another process could not be decoded."""
 
--- /dev/null
+++ b/src/arbutusstall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a node on the users' platform: names, formats and calls."""
--- /dev/null
+++ b/src/arbutusstall/platform/log.py
@@ -0,0 +1,37 @@
+"""The platform log as a topic of the platform's store."""
+
+from arbutusstall import _effects
+from arbutusstall.platform import store as stores
+
+_TOPIC = "arbutusstall"
+
+
+class StoreLog:
+    """The nodes' own log; see `arbutusstall.protocols.LogClient`."""
+
+    def __init__(self, store: stores.Store) -> None:
+        self._store = store
+
+    def append(self, data: bytes) -> int:
+        """Store ``data`` and return its offset.
+
+        Raises:
+            LogUnavailable: No answer; it may be stored all the same.
+        """
+        return self._store.append(_TOPIC, data)
+
+    def read(self, offset: int, wait_s: float) -> _effects.LogRead:
+        """Return the entries from ``offset`` on.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        found = self._store.read(_TOPIC, offset, wait_s)
+        return _effects.LogRead(
+            entries=tuple(
+                _effects.LogEntry(offset=found.offset + index, data=value)
+                for index, value in enumerate(found.values)
+            ),
+            first_kept=found.first_kept,
+            next_offset=found.next_offset,
+        )
--- /dev/null
+++ b/src/arbutusstall/platform/operator.py
@@ -0,0 +1,222 @@
+"""What the platform's operator publishes, and what is reported back."""
+
+import logging
+
+import msgspec
+
+from arbutusstall import _effects
+from arbutusstall import errors
+from arbutusstall._log import source as sources
+from arbutusstall._tables import agreed
+from arbutusstall.platform import durations
+from arbutusstall.platform import store as stores
+
+LOG = logging.getLogger(__name__)
+
+_OPERATOR_TOPIC = "keyed.op"
+_STATUS_TOPIC = "keyed.status"
+_CONFIGURATION_KEY = "config"
+_ROLLOUT_PREFIX = "rollout/"
+_IDEMPOTENT = "idempotent"
+
+_STATES = {
+    agreed.RolloutState.RUNNING: "running",
+    agreed.RolloutState.DONE: "completed",
+    agreed.RolloutState.ROLLED_BACK: "rolled_back",
+}
+_STATES_BY_NAME = {name: state for state, name in _STATES.items()}
+
+
+class _Part(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename="camel"):
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout: str
+    target_latency: str = "0ms"
+    priority: int = 0
+    service: str = ""
+    traffic_split: tuple[_Part, ...] = ()
+    max_attempts: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True, rename="camel"):
+    max_connections: int = 0
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_timeout: str = "3000ms"
+    idle_timeout: str = "15000ms"
+
+
+class _Configuration(msgspec.Struct, frozen=True, rename="camel"):
+    version: int
+    routes: dict[str, _Route] = {}
+    services: dict[str, _Service] = {}
+    limits: _Limits = _Limits()
+
+
+class _Order(msgspec.Struct, frozen=True, rename="camel"):
+    service: str
+    target_version: str
+    # Time from the order to the moment at which all has moved.
+    duration: str
+
+
+class _Status(msgspec.Struct, frozen=True, rename="camel"):
+    state: str
+    target_version: str
+
+
+class OperatorSource:
+    """Reads the operator's topic; see `sources.Source`."""
+
+    def __init__(self, store: stores.Store) -> None:
+        self._store = store
+
+    def read_all(self) -> sources.SourceRead:
+        """Return the newest configuration and all orders.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        statuses = self._statuses()
+        found = self._store.newest(_OPERATOR_TOPIC)
+        decoded = [_event(record, statuses) for record in found.records]
+        return sources.SourceRead(
+            events=tuple(event for event in decoded if event is not None),
+            position=found.next_offset,
+        )
+
+    def read_on(self, position: int, wait_s: float) -> sources.SourceRead:
+        """Return what came after ``position``.
+
+        Raises:
+            LogUnavailable: No answer, or the records have expired.
+        """
+        found = self._store.read(_OPERATOR_TOPIC, position, wait_s)
+        if found.offset != position:
+            raise errors.LogUnavailable(
+                step="source.read", peer=_OPERATOR_TOPIC, reason="expired"
+            )
+        decoded = []
+        for index, value in enumerate(found.values):
+            record = stores.parse_keyed(value, found.offset + index)
+            if record is not None:
+                decoded.append(_event(record, {}))
+        return sources.SourceRead(
+            events=tuple(event for event in decoded if event is not None),
+            position=position + len(found.values),
+        )
+
+    def report(self, report: _effects.ReportRollout) -> None:
+        """Store how a rollout stands.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        status = _Status(
+            state=_STATES[report.state], target_version=report.version
+        )
+        key = f"{_ROLLOUT_PREFIX}{report.service}"
+        value = stores.keyed_value(key, msgspec.json.encode(status))
+        self._store.append(_STATUS_TOPIC, value)
+
+    def _statuses(self) -> dict[str, _Status]:
+        statuses = {}
+        for record in self._store.newest(_STATUS_TOPIC).records:
+            try:
+                status = msgspec.json.decode(record.value, type=_Status)
+            except msgspec.MsgspecError as exc:
+                _skipped(record, str(exc))
+                continue
+            statuses[record.key] = status
+        return statuses
+
+
+def _event(
+    record: stores.KeyedRecord, statuses: dict[str, _Status]
+) -> _effects.Published | _effects.Ordered | None:
+    if not record.value:
+        return None
+    try:
+        if record.key == _CONFIGURATION_KEY:
+            return _published(record)
+        if record.key.startswith(_ROLLOUT_PREFIX):
+            return _ordered(record, statuses.get(record.key))
+    except (msgspec.MsgspecError, ValueError) as exc:
+        _skipped(record, str(exc))
+    return None
+
+
+def _skipped(record: stores.KeyedRecord, reason: str) -> None:
+    LOG.warning(
+        {
+            "event": "record-skipped",
+            "key": record.key,
+            "offset": record.offset,
+            "reason": reason,
+        }
+    )
+
+
+def _published(record: stores.KeyedRecord) -> _effects.Published:
+    found = msgspec.json.decode(record.value, type=_Configuration)
+    return _effects.Published(
+        source_version=found.version,
+        services=tuple(
+            agreed.Service(name=name, max_connections=item.max_connections)
+            for name, item in found.services.items()
+        ),
+        routes=tuple(_route(item) for item in found.routes.values()),
+        limits=agreed.CallerLimits(
+            header_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            header_timeout_ms=durations.milliseconds(
+                found.limits.header_timeout
+            ),
+            idle_timeout_ms=durations.milliseconds(found.limits.idle_timeout),
+        ),
+    )
+
+
+def _route(item: _Route) -> agreed.Route:
+    split = tuple(
+        agreed.ServiceWeight(service=part.service, weight=part.weight)
+        for part in item.traffic_split
+    )
+    if not item.service and not split:
+        raise ValueError("a route names no service")
+    return agreed.Route(
+        prefix=item.host.lower() + item.path_prefix,
+        service=item.service or split[0].service,
+        timeout_ms=durations.milliseconds(item.timeout),
+        idempotent=item.route_type == _IDEMPOTENT,
+        strict=True,
+        split=split,
+        max_attempts=item.max_attempts,
+        target_latency_ms=durations.milliseconds(item.target_latency),
+        priority=item.priority,
+    )
+
+
+def _ordered(
+    record: stores.KeyedRecord, status: _Status | None
+) -> _effects.Ordered:
+    found = msgspec.json.decode(record.value, type=_Order)
+    outcome = agreed.RolloutState.RUNNING
+    if status is not None and status.target_version == found.target_version:
+        outcome = _STATES_BY_NAME.get(status.state, outcome)
+    return _effects.Ordered(
+        order_id=f"order-{record.offset}",
+        service=found.service,
+        version=found.target_version,
+        duration_s=durations.seconds(found.duration),
+        outcome=outcome,
+    )
--- /dev/null
+++ b/src/arbutusstall/platform/store.py
@@ -0,0 +1,234 @@
+"""Client of the platform's store."""
+
+import base64
+import dataclasses
+import struct
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+
+from arbutusstall import _settings
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+_OK = 200
+_GONE = 410
+_TOO_MANY = 429
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Records:
+    """Records of a partition.
+
+    Attributes:
+        first_kept: Oldest offset that the store still has.
+        next_offset: Offset that the next append will get.
+        offset: Offset of the first of ``values``.
+    """
+
+    first_kept: int
+    next_offset: int
+    offset: int
+    values: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KeyedRecord:
+    """A record of a topic that keeps the newest value of each key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NewestRecords:
+    """The newest record of each key.
+
+    Attributes:
+        next_offset: Where to read on.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+class _Appended(msgspec.Struct, frozen=True, rename="camel"):
+    offset: int
+
+
+class _Gone(msgspec.Struct, frozen=True, rename="camel"):
+    first_offset: int
+
+
+class _Item(msgspec.Struct, frozen=True, rename="camel"):
+    key: str
+    value: str
+    offset: int
+
+
+class _Page(msgspec.Struct, frozen=True, rename="camel"):
+    items: tuple[_Item, ...]
+    more: bool
+    end_offset: int
+
+
+class Store:
+    """Appends to and reads partitions; any thread may use it."""
+
+    def __init__(self, settings: _settings.LogSettings) -> None:
+        self._settings = settings
+
+    def append(self, topic: str, value: bytes) -> int:
+        """Append one record and return its offset.
+
+        Raises:
+            LogUnavailable: No answer; it may be stored all the same.
+        """
+        data = self._request(
+            "POST",
+            "/log-append",
+            {"topic": topic, "part": "0"},
+            body=_LENGTH.pack(len(value)) + value,
+        )
+        return self._decode(data, _Appended).offset
+
+    def read(self, topic: str, offset: int, wait_s: float) -> Records:
+        """Return the records from ``offset`` on.
+
+        Where they have expired, the result has no records and starts at
+        the oldest that is kept.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(offset),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        response = self._exchange("GET", "/log-read", query, wait_s=wait_s)
+        if response.status == _GONE:
+            first = self._decode(response.body, _Gone).first_offset
+            return Records(
+                first_kept=first, next_offset=first, offset=first, values=()
+            )
+        self._check(response, "/log-read")
+        return self._records(response.body, offset)
+
+    def newest(self, topic: str) -> NewestRecords:
+        """Return the newest record of each key of a keyed topic.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        found: list[KeyedRecord] = []
+        end = 0
+        query = {"topic": topic, "part": "0"}
+        while True:
+            data = self._request("GET", "/log-newest", query)
+            page = self._decode(data, _Page)
+            # Pages are read one after the other: go on from the first
+            # page's end, so that no change in between is missed.
+            end = end or page.end_offset
+            found += [_keyed(item) for item in page.items]
+            if not page.more or not page.items:
+                break
+            query["after"] = page.items[-1].key
+        return NewestRecords(records=tuple(found), next_offset=end)
+
+    def _records(self, data: bytes, offset: int) -> Records:
+        if len(data) < _READ_HEAD.size:
+            raise self._unavailable("/log-read", "the answer is cut")
+        next_offset, first_kept = _READ_HEAD.unpack_from(data)
+        values = []
+        start = _READ_HEAD.size
+        while start + _LENGTH.size <= len(data):
+            (size,) = _LENGTH.unpack_from(data, start)
+            start += _LENGTH.size
+            if start + size > len(data):
+                break
+            values.append(data[start : start + size])
+            start += size
+        return Records(
+            first_kept=first_kept,
+            next_offset=next_offset,
+            offset=offset,
+            values=tuple(values),
+        )
+
+    def _request(
+        self, method: str, path: str, query: dict[str, str], body: bytes = b""
+    ) -> bytes:
+        response = self._exchange(method, path, query, body=body)
+        self._check(response, path)
+        return response.body
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> http.Response:
+        url = f"{self._settings.url}{path}?{urllib.parse.urlencode(query)}"
+        request = http.Request(
+            method=method,
+            url=url,
+            body=body,
+            timeout_s=self._settings.request_timeout_s + wait_s,
+            connect_timeout_s=self._settings.request_timeout_s,
+        )
+        try:
+            return http.send(request)
+        except errors.ArbutusstallError as exc:
+            raise self._unavailable(path, exc.reason) from exc
+
+    def _check(self, response: http.Response, path: str) -> None:
+        if response.status == _TOO_MANY:
+            raise errors.LogOverloaded(
+                step=path, peer=self._settings.url, reason="over its rate"
+            )
+        if response.status != _OK:
+            raise self._unavailable(path, f"status {response.status}")
+
+    def _decode(self, data: bytes, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise self._unavailable("store.decode", str(exc)) from exc
+
+    def _unavailable(self, step: str, reason: str) -> errors.LogUnavailable:
+        return errors.LogUnavailable(
+            step=step, peer=self._settings.url, reason=reason
+        )
+
+
+def keyed_value(key: str, value: bytes) -> bytes:
+    """Return the content of a record with a key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def parse_keyed(data: bytes, offset: int) -> KeyedRecord | None:
+    """Decode the content of a record with a key; None if it is damaged."""
+    if not data or len(data) < 1 + data[0]:
+        return None
+    end = 1 + data[0]
+    key = data[1:end].decode("utf-8", "replace")
+    return KeyedRecord(key=key, value=data[end:], offset=offset)
+
+
+def _keyed(item: _Item) -> KeyedRecord:
+    return KeyedRecord(
+        key=item.key,
+        value=base64.b64decode(item.value),
+        offset=item.offset,
+    )
