Take settings changes up and keep departures

Change: SIGHUP and silent changes of the settings file are read and reported; a departure is kept in a keyed topic before it is acknowledged and read at start.

--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -119,12 +119,10 @@
         old, self._target = self._target, target
         self.admission.slots = target.slots
         self.admission.draining = False
-        if (
-            old is None
-            or old.address != target.address
-            or old.instance != target.instance
-            and self._pool is not None
-        ):
+        same = old is not None and (
+            (old.address, old.instance) == (target.address, target.instance)
+        )
+        if not same:
             self._replace_pool(target.address)
         self._promote()
 
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -1,8 +1,11 @@
 """Assembles a node process from its parts."""
 
 import asyncio
+from collections import abc
+from concurrent import futures
 import dataclasses
 import gc
+import logging
 import random
 import signal
 import time
@@ -11,7 +14,9 @@
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall import _settings
+from arbutusstall import errors
 from arbutusstall._log import client
+from arbutusstall._log import departures
 from arbutusstall._log import source as sources
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
@@ -28,6 +33,10 @@
 
 _TARGET_CHECK_S = 0.5
 _STOP_POLL_S = 0.05
+# A target waits a second for the answer to its heartbeat.
+_RECORD_S = 0.5
+_LOAD_S = 1.5
+_AGAIN_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +54,7 @@
     dialect: dialects.Dialect
     log: client.LogClient
     source: sources.Source
+    departures: departures.Departures
     notice_s: float
     grace_s: float
     target_silent_s: float
@@ -96,6 +106,10 @@
         self._announcements = announcements.Announcements(
             surroundings.target_silent_s
         )
+        self._threads = futures.ThreadPoolExecutor(max_workers=1)
+        self._departures_known = asyncio.Event()
+        self._recorded: set[announcements.Departure] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._register()
 
@@ -119,6 +133,7 @@
         self.inbound.start()
         self._control.start()
         self._check_target()
+        self._spawn(self._load_departures())
         # What exists now stays; the collector need not look at it again.
         gc.collect()
         gc.freeze()
@@ -156,13 +171,15 @@
         self._control.stop()
         self.log.emit("node-stopped")
 
-    def announce(
-        self, announcement: announcements.Announcement
-    ) -> announcements.Verdict:
+    async def announce(self, announcement: announcements.Announcement) -> None:
         """Take a heartbeat of the target beside this node in."""
+        await self._departures_known.wait()
         verdict = self._announcements.judge(announcement, self._loop.time())
         if verdict is announcements.Verdict.LEAVING:
-            self._target_left(announcement.instance, "draining")
+            departure = announcements.Departure(
+                instance=announcement.instance, born_ms=announcement.born_ms
+            )
+            await self._depart(departure, "draining")
         elif verdict is announcements.Verdict.SERVING and not self._stopping:
             target = _effects.Announced(
                 service=announcement.service,
@@ -174,12 +191,66 @@
             )
             self.inbound.announced(target)
             self._control.put(target)
-        return verdict
 
-    def leave(self, instance: str) -> None:
+    async def leave(self, instance: str) -> None:
         """Note that the target beside this node ends."""
-        if self._announcements.leave(instance):
-            self._target_left(instance, "left")
+        await self._depart(self._announcements.leave(instance), "left")
+
+    async def _depart(
+        self, departure: announcements.Departure, reason: str
+    ) -> None:
+        """Refuse calls from now on, and keep it beyond this process."""
+        target = self.inbound.target
+        if target is not None and target.instance == departure.instance:
+            self._target_left(departure.instance, reason)
+        if departure not in self._recorded:
+            self._recorded.add(departure)
+            await self._record(departure, last=False)
+
+    async def _record(
+        self, departure: announcements.Departure, *, last: bool
+    ) -> None:
+        record = self._surroundings.departures.record
+        try:
+            async with asyncio.timeout(_RECORD_S):
+                await self._loop.run_in_executor(
+                    self._threads, record, departure
+                )
+        except (errors.LogUnavailable, TimeoutError) as exc:
+            self._log_failure("departure-not-recorded", exc)
+            if not last:
+                self._spawn(self._record_again(departure))
+
+    async def _record_again(self, departure: announcements.Departure) -> None:
+        await asyncio.sleep(_AGAIN_S)
+        await self._record(departure, last=True)
+
+    async def _load_departures(self) -> None:
+        load = self._surroundings.departures.load
+        while not self._stopping:
+            try:
+                async with asyncio.timeout(_LOAD_S):
+                    found = await self._loop.run_in_executor(
+                        self._threads, load
+                    )
+            except (errors.LogUnavailable, TimeoutError) as exc:
+                self._log_failure("departures-not-read", exc)
+            else:
+                self._announcements.restore(found)
+                self._departures_known.set()
+                return
+            # The target is not kept waiting for the store.
+            self._departures_known.set()
+            await asyncio.sleep(_AGAIN_S)
+
+    def _log_failure(self, event: str, exc: Exception) -> None:
+        reason = str(exc) or "no answer in time"
+        self.log.emit(event, {"reason": reason}, logging.WARNING)
+
+    def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _target_left(self, instance: str, reason: str) -> None:
         if not self.inbound.admission.draining:
--- a/src/arbutusstall/_systems/announcements.py
+++ b/src/arbutusstall/_systems/announcements.py
@@ -1,5 +1,6 @@
 """Judges what targets say of themselves to the node beside them."""
 
+from collections import abc
 import dataclasses
 import enum
 
@@ -28,6 +29,14 @@
     cold_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Departure:
+    """A target that has said that it leaves."""
+
+    instance: str
+    born_ms: int = 0
+
+
 class Verdict(enum.Enum):
     """What an announcement means."""
 
@@ -48,7 +57,7 @@
         self._silent_s = silent_s
         self._newest: Announcement | None = None
         self._heard_s = 0.0
-        self._left_instances: dict[str, int] = {}
+        self._left_ms_by_instance: dict[str, int] = {}
 
     @property
     def newest(self) -> Announcement | None:
@@ -57,24 +66,34 @@
 
     def judge(self, new: Announcement, now_s: float) -> Verdict:
         """Take an announcement in."""
-        left_ms = self._left_instances.get(new.instance)
+        left_ms = self._left_ms_by_instance.get(new.instance)
         if left_ms is not None and new.born_ms <= left_ms:
-            return Verdict.OUTDATED
+            return Verdict.LEAVING if new.draining else Verdict.OUTDATED
         old = self._newest
         if old is not None and _is_older(new, old):
             return Verdict.OUTDATED
         self._newest = new
         self._heard_s = now_s
-        return Verdict.LEAVING if new.draining else Verdict.SERVING
+        if not new.draining:
+            return Verdict.SERVING
+        self._note(Departure(instance=new.instance, born_ms=new.born_ms))
+        return Verdict.LEAVING
 
-    def leave(self, instance: str) -> bool:
-        """Note that a target ends; false if it is not the one here."""
+    def leave(self, instance: str) -> Departure:
+        """Note that a target ends."""
         old = self._newest
-        if old is None or old.instance != instance:
-            return False
-        self._left_instances[instance] = old.born_ms
-        self._newest = None
-        return True
+        born_ms = 0
+        if old is not None and old.instance == instance:
+            born_ms = old.born_ms
+            self._newest = None
+        departure = Departure(instance=instance, born_ms=born_ms)
+        self._note(departure)
+        return departure
+
+    def restore(self, departures: abc.Iterable[Departure]) -> None:
+        """Take over what an earlier process has noted."""
+        for departure in departures:
+            self._note(departure)
 
     def fell_silent(self, now_s: float) -> bool:
         """Tell once that the target has not been heard for too long."""
@@ -84,6 +103,12 @@
         self._newest = None
         return True
 
+    def _note(self, departure: Departure) -> None:
+        known_ms = self._left_ms_by_instance.get(departure.instance, 0)
+        self._left_ms_by_instance[departure.instance] = max(
+            known_ms, departure.born_ms
+        )
+
 
 def _is_older(new: Announcement, old: Announcement) -> bool:
     if new.born_ms != old.born_ms:
--- a/src/arbutusstall/platform/endpoints.py
+++ b/src/arbutusstall/platform/endpoints.py
@@ -1,5 +1,7 @@
 """What the platform and the target ask a node for."""
 
+import asyncio
+import logging
 from typing import Protocol
 import urllib.parse
 
@@ -10,6 +12,8 @@
 from arbutusstall._systems import announcements
 from arbutusstall.platform import durations
 
+LOG = logging.getLogger(__name__)
+
 _OK = 200
 _UNAVAILABLE = 503
 _INVALID = 400
@@ -28,13 +32,11 @@
         """Whether callers may be sent here."""
         ...
 
-    def announce(
-        self, announcement: announcements.Announcement
-    ) -> announcements.Verdict:
+    async def announce(self, announcement: announcements.Announcement) -> None:
         """Take a heartbeat of the target in."""
         ...
 
-    def leave(self, instance: str) -> None:
+    async def leave(self, instance: str) -> None:
         """Note that the target ends."""
         ...
 
@@ -76,30 +78,43 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Answer one heartbeat."""
+        task = asyncio.get_running_loop().create_task(self._answer(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
         path = request.target.partition("?")[0]
         instance = urllib.parse.unquote(path.removeprefix(_INSTANCES))
         status = _NOT_FOUND
         if path.startswith(_INSTANCES) and instance:
             if request.method == "PUT":
-                status = self._announce(instance, request.body)
+                status = await self._announce(instance, request.body)
             elif request.method == "DELETE":
-                self._node.leave(instance)
+                await self._node.leave(instance)
                 status = _OK
         body = b"{}" if status == _OK else b""
         exchange.answer(
             http_messages.Response(status=status, headers=_JSON, body=body)
         )
 
-    def _announce(self, instance: str, body: bytes) -> int:
+    async def _announce(self, instance: str, body: bytes) -> int:
         try:
             announcement = _decode(instance, body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+        except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
+            LOG.warning(
+                {
+                    "event": "heartbeat-refused",
+                    "target": instance,
+                    "reason": str(exc),
+                }
+            )
             return _INVALID
-        self._node.announce(announcement)
+        await self._node.announce(announcement)
         return _OK
 
 
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -3,16 +3,19 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 from arbutusstall import errors
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import log_output
 from arbutusstall._proxy import node as nodes
+from arbutusstall.platform import departures
 from arbutusstall.platform import dialect
 from arbutusstall.platform import endpoints
 from arbutusstall.platform import log
 from arbutusstall.platform import operator
+from arbutusstall.platform import reloading
 from arbutusstall.platform import settings as platform_settings
 from arbutusstall.platform import store as stores
 
@@ -28,11 +31,13 @@
     except errors.InvalidFile as exc:
         print(f"{exc.peer}: {exc.reason}", file=sys.stderr)
         return _EXIT_INVALID
-    asyncio.run(_run(settings))
+    asyncio.run(_run(settings, pathlib.Path(name)))
     return 0
 
 
-async def _run(settings: platform_settings.PlatformSettings) -> None:
+async def _run(
+    settings: platform_settings.PlatformSettings, path: pathlib.Path
+) -> None:
     output = log_output.configure(settings.node.log_level, _STDOUT)
     store = stores.Store(settings.node.log)
     node = nodes.Node(
@@ -41,6 +46,7 @@
             dialect=dialect.PlatformDialect(settings.service, settings.ip),
             log=log.StoreLog(store),
             source=operator.OperatorSource(store),
+            departures=departures.StoreDepartures(store, settings.node.node),
             notice_s=settings.notice_s,
             grace_s=settings.grace_s,
             target_silent_s=settings.target_silent_s,
@@ -50,6 +56,9 @@
         settings.control, endpoints.Heartbeats(node)
     )
     ready = http_server.HttpServer(settings.ready, endpoints.Ready(node))
+    watch = reloading.SettingsWatch(path, settings, node.log)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
+    watch.start()
     await heartbeats.start()
     await ready.start()
     await node.run()
