Take configurations from the source directly

Change: a version has two parts, the source's and the log's, that are merged; a node that reads the source puts it in force at once and the tree carries it on, also between roots. A detached node of a small data centre reads the source at once. Nodes and targets are kept in a roster that a restarted node reads, so that it serves without a heartbeat. Service times are estimated by route: a nested call was refused for the time that the calls of another route take.

Ruled out: more appenders; the log would still be in the way.

--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -34,6 +34,7 @@
     _effects.LogFailed: agreement.on_failed,
     _effects.Announced: membership.on_announced,
     _effects.Left: membership.on_left,
+    _effects.RosterRead: membership.on_roster,
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
     _effects.TargetCrashed: quarantine.on_crashed,
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -140,6 +140,13 @@
     outcome: agreed.RolloutState = agreed.RolloutState.RUNNING
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RosterRead:
+    """Rows of nodes that were kept beyond the life of processes."""
+
+    rows: tuple[members.Member, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SourceChanged:
     """An external source no longer answers, or does again."""
@@ -161,6 +168,7 @@
     | Published
     | Ordered
     | SourceChanged
+    | RosterRead
 )
 
 
--- a/src/arbutusstall/_log/fold.py
+++ b/src/arbutusstall/_log/fold.py
@@ -9,7 +9,6 @@
 
 from arbutusstall import errors
 from arbutusstall._log import checkpoint
-from arbutusstall._log import configurations
 from arbutusstall._log import records
 from arbutusstall._log import releases
 from arbutusstall._log import rollouts
@@ -58,8 +57,6 @@
     match record:
         case records.ReleaseRecord():
             return releases.apply(state, offset, record)
-        case records.ConfigurationRecord():
-            return configurations.apply(state, offset, record)
         case records.RolloutOrder():
             return rollouts.apply_order(state, offset, record)
         case records.LeaseClaim():
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -34,25 +34,6 @@
     read_to: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationRecord:
-    """A whole configuration from an external source.
-
-    It replaces all services and routes if its version is higher than
-    that of the one in force. Any root may append it; a repeated one has
-    no effect.
-
-    Attributes:
-        source_version: Version that the source gave it.
-    """
-
-    record_id: str
-    source_version: int
-    services: tuple[agreed.Service, ...]
-    routes: tuple[agreed.Route, ...]
-    limits: agreed.CallerLimits = agreed.CallerLimits()
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RolloutOrder:
     """Asks to move all traffic of a service to one version.
@@ -212,7 +193,6 @@
 
 Record = (
     ReleaseRecord
-    | ConfigurationRecord
     | RolloutOrder
     | LeaseClaim
     | LeaseRenewal
@@ -226,7 +206,6 @@
 
 _KINDS: dict[str, type[Record]] = {
     "release": ReleaseRecord,
-    "configuration": ConfigurationRecord,
     "rollout-order": RolloutOrder,
     "lease-claim": LeaseClaim,
     "lease-renewal": LeaseRenewal,
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -157,15 +157,15 @@
 ) -> tables.Agreed:
     """Return the state after an order to move a service to a version.
 
-    An order that was taken before, or that names an unknown service,
-    changes nothing. A running rollout of the service is superseded.
+    An order that was taken before changes nothing. A running rollout of
+    the service is superseded.
     """
     rollout_id = f"{record.order_id}/{record.service}"
     old = state.snapshot
     known = rollout_id in old.rollouts_by_id or (
         rollout_id in state.ended_rollouts_by_id
     )
-    if known or record.service not in old.services_by_name:
+    if known:
         return state
     changes = _supersede(
         Changes(
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -188,6 +188,7 @@
                 now_ms,
                 call.deadline_ms,
                 rank=call.rank,
+                route=call.route,
             )
         if target is None or decision.verdict is admission.Verdict.REFUSE:
             self._answer(call, done, _turned_away(call, decision))
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -16,7 +16,7 @@
 from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._log import client
-from arbutusstall._log import departures
+from arbutusstall._log import roster
 from arbutusstall._log import source as sources
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
@@ -30,11 +30,12 @@
 from arbutusstall._shell import events
 from arbutusstall._shell import log_worker
 from arbutusstall._systems import announcements
+from arbutusstall._tables import members
 
 _TARGET_CHECK_S = 0.5
 _STOP_POLL_S = 0.05
 # A target waits a second for the answer to its heartbeat.
-_RECORD_S = 0.5
+_SAVE_S = 0.5
 _LOAD_S = 1.5
 _AGAIN_S = 1.0
 
@@ -54,7 +55,7 @@
     dialect: dialects.Dialect
     log: client.LogClient
     source: sources.Source
-    departures: departures.Departures
+    roster: roster.Roster
     notice_s: float
     grace_s: float
     target_silent_s: float
@@ -107,8 +108,9 @@
             surroundings.target_silent_s
         )
         self._threads = futures.ThreadPoolExecutor(max_workers=1)
-        self._departures_known = asyncio.Event()
-        self._recorded: set[announcements.Departure] = set()
+        self._roster_known = asyncio.Event()
+        self._saved: roster.RosterEntry | None = None
+        self._target: _effects.Announced | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._register()
@@ -133,7 +135,7 @@
         self.inbound.start()
         self._control.start()
         self._check_target()
-        self._spawn(self._load_departures())
+        self._spawn(self._load_roster())
         # What exists now stays; the collector need not look at it again.
         gc.collect()
         gc.freeze()
@@ -173,7 +175,7 @@
 
     async def announce(self, announcement: announcements.Announcement) -> None:
         """Take a heartbeat of the target beside this node in."""
-        await self._departures_known.wait()
+        await self._roster_known.wait()
         verdict = self._announcements.judge(announcement, self._loop.time())
         if verdict is announcements.Verdict.LEAVING:
             departure = announcements.Departure(
@@ -181,21 +183,29 @@
             )
             await self._depart(departure, "draining")
         elif verdict is announcements.Verdict.SERVING and not self._stopping:
-            target = _effects.Announced(
-                service=announcement.service,
-                version=announcement.version,
-                address=announcement.address,
-                slots=announcement.slots,
-                instance=announcement.instance,
-                cold_s=announcement.cold_s,
-            )
-            self.inbound.announced(target)
-            self._control.put(target)
+            self._serve(announcement)
+            entry = self._entry(announcement.instance, announcement.born_ms)
+            if entry != self._saved:
+                self._saved = entry
+                self._spawn(self._keep_saving(entry))
 
     async def leave(self, instance: str) -> None:
         """Note that the target beside this node ends."""
         await self._depart(self._announcements.leave(instance), "left")
 
+    def _serve(self, announcement: announcements.Announcement) -> None:
+        target = _effects.Announced(
+            service=announcement.service,
+            version=announcement.version,
+            address=announcement.address,
+            slots=announcement.slots,
+            instance=announcement.instance,
+            cold_s=announcement.cold_s,
+        )
+        self._target = target
+        self.inbound.announced(target)
+        self._control.put(target)
+
     async def _depart(
         self, departure: announcements.Departure, reason: str
     ) -> None:
@@ -203,46 +213,107 @@
         target = self.inbound.target
         if target is not None and target.instance == departure.instance:
             self._target_left(departure.instance, reason)
-        if departure not in self._recorded:
-            self._recorded.add(departure)
-            await self._record(departure, last=False)
+        entry = dataclasses.replace(
+            self._entry(departure.instance, departure.born_ms), departed=True
+        )
+        if entry != self._saved:
+            self._saved = entry
+            if not await self._save(entry):
+                self._spawn(self._keep_saving(entry))
 
-    async def _record(
-        self, departure: announcements.Departure, *, last: bool
-    ) -> None:
-        record = self._surroundings.departures.record
+    def _entry(self, instance: str, born_ms: int) -> roster.RosterEntry:
+        row = self.core.tables.member
+        target = self._target
+        if target is not None:
+            row = dataclasses.replace(
+                row,
+                state=members.MemberState.SERVING,
+                sequence=0,
+                service=target.service,
+                version=target.version,
+                target=target.address,
+                slots=target.slots,
+            )
+        return roster.RosterEntry(
+            member=row, instance=instance, born_ms=born_ms
+        )
+
+    async def _save(self, entry: roster.RosterEntry) -> bool:
+        """Keep an entry; false if the roster does not answer in time."""
         try:
-            async with asyncio.timeout(_RECORD_S):
+            async with asyncio.timeout(_SAVE_S):
                 await self._loop.run_in_executor(
-                    self._threads, record, departure
+                    self._threads, self._surroundings.roster.save, entry
                 )
         except (errors.LogUnavailable, TimeoutError) as exc:
-            self._log_failure("departure-not-recorded", exc)
-            if not last:
-                self._spawn(self._record_again(departure))
+            self._log_failure("roster-not-saved", exc)
+            return False
+        return True
 
-    async def _record_again(self, departure: announcements.Departure) -> None:
-        await asyncio.sleep(_AGAIN_S)
-        await self._record(departure, last=True)
+    async def _keep_saving(self, entry: roster.RosterEntry) -> None:
+        """Try until the entry is kept or there is a newer one."""
+        while self._saved is entry and not self._stopping:
+            if await self._save(entry):
+                return
+            await asyncio.sleep(_AGAIN_S)
 
-    async def _load_departures(self) -> None:
-        load = self._surroundings.departures.load
+    async def _load_roster(self) -> None:
         while not self._stopping:
             try:
                 async with asyncio.timeout(_LOAD_S):
                     found = await self._loop.run_in_executor(
-                        self._threads, load
+                        self._threads, self._surroundings.roster.load
                     )
             except (errors.LogUnavailable, TimeoutError) as exc:
-                self._log_failure("departures-not-read", exc)
+                self._log_failure("roster-not-read", exc)
             else:
-                self._announcements.restore(found)
-                self._departures_known.set()
+                self._use_roster(found)
+                self._roster_known.set()
                 return
             # The target is not kept waiting for the store.
-            self._departures_known.set()
+            self._roster_known.set()
             await asyncio.sleep(_AGAIN_S)
 
+    def _use_roster(self, entries: abc.Iterable[roster.RosterEntry]) -> None:
+        rows = []
+        for entry in entries:
+            own = entry.member.node == self._settings.node
+            if own:
+                self._restore(entry)
+            elif not entry.departed and entry.member.service:
+                rows.append(entry.member)
+        self._control.put(_effects.RosterRead(rows=tuple(rows)))
+
+    def _restore(self, entry: roster.RosterEntry) -> None:
+        """Use the target that an earlier process has announced.
+
+        If it has ended meanwhile, its address refuses connections or
+        another target there turns the calls away by the instance.
+        """
+        if entry.departed:
+            departure = announcements.Departure(
+                instance=entry.instance, born_ms=entry.born_ms
+            )
+            self._announcements.restore((departure,))
+            return
+        row = entry.member
+        if self._announcements.newest is not None or not row.service:
+            return
+        announcement = announcements.Announcement(
+            instance=entry.instance,
+            service=row.service,
+            version=row.version,
+            address=row.target,
+            slots=row.slots,
+            sequence=0,
+            born_ms=entry.born_ms,
+        )
+        now_s = self._loop.time()
+        verdict = self._announcements.judge(announcement, now_s)
+        if verdict is announcements.Verdict.SERVING:
+            self.log.emit("target-restored", {"target": entry.instance})
+            self._serve(announcement)
+
     def _log_failure(self, event: str, exc: Exception) -> None:
         reason = str(exc) or "no answer in time"
         self.log.emit(event, {"reason": reason}, logging.WARNING)
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -50,6 +50,13 @@
 _TOUCHED_TARGET = frozenset({admission.SHED, admission.MISDIRECTED})
 
 
+_NOBODY = attempts.Attempt(
+    state=attempts.AttemptState.NOT_RUN,
+    reason=NO_ENDPOINT,
+    retry_after_ms=_NO_ENDPOINT_RETRY_MS,
+)
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Running:
     exchange: http_server.Exchange
@@ -61,6 +68,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     refusals: int = 0
+    last: attempts.Attempt | None = None
     earlier_lost: bool = False
     member: members.Member | None = None
     peer: peer_links.Peer | None = None
@@ -190,14 +198,7 @@
             )
         left_ms = int((running.end_s - self._loop.time()) * 1000)
         if version is None or member is None or left_ms <= 0:
-            self._give_up(
-                running,
-                attempts.Attempt(
-                    state=attempts.AttemptState.NOT_RUN,
-                    reason=NO_ENDPOINT if left_ms > 0 else TIMED_OUT,
-                    retry_after_ms=_NO_ENDPOINT_RETRY_MS,
-                ),
-            )
+            self._give_up(running, running.last or _NOBODY)
             return
         running.sends += 1
         running.member = member
@@ -285,6 +286,7 @@
             return
         lost = attempt.state is attempts.AttemptState.LOST
         running.earlier_lost |= lost
+        running.last = attempt
         if step is attempts.Step.RETRY and self._may_retry(running, attempt):
             call_metrics.RETRIES.labels(call.service).inc()
             self._attempt(running)
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -100,6 +100,8 @@
         forget_s: The row of a dead node is removed after this time.
         join_rate: Joiners that a node admits per second.
         rows_per_s: Member rows sent over one link per second.
+        detached_readers: Size of a data centre up to which each node
+            reads the log itself while it has no parent.
     """
 
     roots: int = 3
@@ -113,6 +115,7 @@
     forget_s: float = 600.0
     join_rate: float = 20.0
     rows_per_s: float = 100.0
+    detached_readers: int = 0
     retry_base_s: float = 0.2
     retry_cap_s: float = 10.0
 
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -19,6 +19,7 @@
 _SMOOTHING = 0.1
 _START_SERVICE_MS = 10.0
 _MIN_RETRY_AFTER_MS = 10
+_MOST_ROUTES = 1_000
 
 
 class Verdict(enum.Enum):
@@ -47,9 +48,16 @@
     evicted: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Started:
+    at_ms: int
+    route: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Waiting:
     call_id: str
+    route: str
     solo: bool
     rank: int
     until_ms: int
@@ -79,15 +87,16 @@
         self.draining = False
         self._queue_limit = queue
         self._queue_ms = queue_ms
-        self._started_ms_by_id: dict[str, int] = {}
+        self._started_by_id: dict[str, _Started] = {}
         self._solo_id = ""
         self._queue: list[_Waiting] = []
         self._service_ms = _START_SERVICE_MS
+        self._service_ms_by_route: dict[str, float] = {}
 
     @property
     def in_flight(self) -> int:
         """Number of requests at the target."""
-        return len(self._started_ms_by_id)
+        return len(self._started_by_id)
 
     @property
     def queued(self) -> int:
@@ -97,7 +106,7 @@
     @property
     def running_ids(self) -> tuple[str, ...]:
         """Ids of the requests at the target."""
-        return tuple(self._started_ms_by_id)
+        return tuple(self._started_by_id)
 
     def begin(
         self,
@@ -106,6 +115,7 @@
         deadline_ms: int,
         solo: bool = False,
         rank: int = 0,
+        route: str = "",
     ) -> Decision:
         """Ask for a slot.
 
@@ -113,6 +123,7 @@
             deadline_ms: Time left to the caller's deadline.
             solo: Whether the request must be alone at the target.
             rank: Requests of a lower rank start first.
+            route: Requests of one route take about the same time.
         """
         if self.table.get(ticket.call_id) is not None:
             return _refuse(self.table.admit(ticket, now_ms))
@@ -123,7 +134,7 @@
         place = self._place(rank)
         expected_ms = self._expected_wait_ms(place)
         waits = self._must_wait(solo)
-        patience_ms = min(self._queue_ms, deadline_ms - int(self._service_ms))
+        patience_ms = min(self._queue_ms, deadline_ms - self._taken_ms(route))
         full = len(self._queue) >= self._queue_limit
         if waits and (
             expected_ms > patience_ms or (full and place == len(self._queue))
@@ -135,6 +146,7 @@
         if waits:
             waiting = _Waiting(
                 call_id=ticket.call_id,
+                route=route,
                 solo=solo,
                 rank=rank,
                 until_ms=now_ms + patience_ms,
@@ -145,7 +157,7 @@
                 wait_ms=patience_ms,
                 evicted=self._evict(place + 1, now_ms),
             )
-        self._start(ticket.call_id, solo, now_ms)
+        self._start(ticket.call_id, route, solo, now_ms)
         return Decision(verdict=Verdict.START)
 
     def retry_after_ms(self) -> int:
@@ -168,7 +180,7 @@
 
     def give_up(self, call_id: str, now_ms: int) -> bool:
         """Take a request out of the queue; false if it has started."""
-        if call_id in self._started_ms_by_id:
+        if call_id in self._started_by_id:
             return False
         self._queue = [item for item in self._queue if item.call_id != call_id]
         self.table.withdraw(call_id, now_ms)
@@ -176,11 +188,10 @@
 
     def end(self, call_id: str, now_ms: int) -> tuple[str, ...]:
         """Free the slot; return the ids that start in turn."""
-        started_ms = self._started_ms_by_id.pop(call_id)
+        started = self._started_by_id.pop(call_id)
         if self._solo_id == call_id:
             self._solo_id = ""
-        taken_ms = now_ms - started_ms
-        self._service_ms += _SMOOTHING * (taken_ms - self._service_ms)
+        self._learn(started.route, now_ms - started.at_ms)
         return self.promote(now_ms)
 
     def promote(self, now_ms: int) -> tuple[str, ...]:
@@ -188,7 +199,7 @@
         started = []
         while self._queue and self._has_room(self._queue[0].solo):
             item = self._queue.pop(0)
-            if self._start(item.call_id, item.solo, now_ms):
+            if self._start(item.call_id, item.route, item.solo, now_ms):
                 started.append(item.call_id)
         return tuple(started)
 
@@ -199,17 +210,32 @@
         if self._solo_id:
             return False
         if solo:
-            return not self._started_ms_by_id
-        return len(self._started_ms_by_id) < self.slots
+            return not self._started_by_id
+        return len(self._started_by_id) < self.slots
 
-    def _start(self, call_id: str, solo: bool, now_ms: int) -> bool:
+    def _start(
+        self, call_id: str, route: str, solo: bool, now_ms: int
+    ) -> bool:
         if not self.table.start(call_id, now_ms):
             return False
-        self._started_ms_by_id[call_id] = now_ms
+        self._started_by_id[call_id] = _Started(at_ms=now_ms, route=route)
         if solo:
             self._solo_id = call_id
         return True
 
+    def _learn(self, route: str, taken_ms: int) -> None:
+        self._service_ms += _SMOOTHING * (taken_ms - self._service_ms)
+        known_ms = self._service_ms_by_route.get(route, float(taken_ms))
+        known_ms += _SMOOTHING * (taken_ms - known_ms)
+        if len(self._service_ms_by_route) >= _MOST_ROUTES:
+            self._service_ms_by_route.clear()
+        self._service_ms_by_route[route] = known_ms
+
+    def _taken_ms(self, route: str) -> int:
+        """Return how long a call of a route is likely to run."""
+        known_ms = self._service_ms_by_route.get(route, self._service_ms)
+        return int(known_ms)
+
     def _place(self, rank: int) -> int:
         place = len(self._queue)
         while place and self._queue[place - 1].rank > rank:
--- a/src/arbutusstall/_systems/agreement.py
+++ b/src/arbutusstall/_systems/agreement.py
@@ -28,9 +28,7 @@
         )
     tables.log_behind = event.next_offset < before.offset
     effects += _report(before.releases_by_name, tables)
-    if tables.agreed.snapshot.version > tables.snapshot.version:
-        effects += distribution.adopt(tables, tables.agreed.snapshot, now)
-    return effects
+    return effects + distribution.adopt(tables, tables.agreed.snapshot, now)
 
 
 def on_failed(
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -11,6 +11,7 @@
 from arbutusstall._tables import agreed
 from arbutusstall._tables import links
 from arbutusstall._tables import node
+from arbutusstall._tables import versions
 from arbutusstall._wire import messages
 
 _VERSIONS_KEPT = 64
@@ -23,7 +24,7 @@
     now: _clock.Instant,
     digest: str = "",
 ) -> list[_effects.Effect]:
-    """Put ``snapshot`` in force unless a newer one is already.
+    """Put in force what is newer in ``snapshot``.
 
     Args:
         tables: The node's tables.
@@ -31,15 +32,18 @@
         now: Current time.
         digest: Its digest if that was checked already.
     """
-    if snapshot.version <= tables.snapshot.version:
+    before = tables.snapshot
+    if not versions.has_news(snapshot.version, before.version):
         return []
+    merged = _merged(before, snapshot)
+    if merged is not snapshot:
+        snapshot, digest = merged, ""
     if dangling(snapshot):
         return [
             _effects.Emit(
                 event="config-refused", fields={"version": snapshot.version}
             )
         ]
-    before = tables.snapshot
     tables.history[before.version] = before
     while len(tables.history) > _VERSIONS_KEPT:
         tables.history.popitem(last=False)
@@ -48,7 +52,11 @@
     progress.changed(tables, now)
     effects: list[_effects.Effect] = [
         _effects.Emit(
-            event="config-in-force", fields={"version": snapshot.version}
+            event="config-in-force",
+            fields={
+                "version": versions.log_part(snapshot.version),
+                "source_version": snapshot.source_version,
+            },
         )
     ]
     effects += rollout_events.between(before, snapshot)
@@ -61,10 +69,10 @@
     services = snapshot.services_by_name
     routes = snapshot.routes_by_prefix.values()
     named = {name for route in routes for name in route.services}
-    return not (
-        named <= services.keys()
-        and snapshot.shares_by_service.keys() <= services.keys()
-    )
+    if not snapshot.source_version:
+        # An external source withdraws services without their shares.
+        named |= snapshot.shares_by_service.keys()
+    return not named <= services.keys()
 
 
 def view(tables: node.Tables) -> _effects.PutInForce:
@@ -86,9 +94,9 @@
     """Bring one neighbour from the version it has to the current one."""
     link = tables.links_by_peer[peer]
     version = tables.snapshot.version
-    if max(link.version, link.sent) >= version:
+    base = versions.joined(link.version, link.sent)
+    if not versions.has_news(version, base):
         return []
-    base = max(link.version, link.sent)
     message = _update(tables, base)
     tables.links_by_peer[peer] = dataclasses.replace(link, sent=version)
     return [_effects.Send(peer=peer, message=message)]
@@ -118,7 +126,8 @@
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Apply a difference aside; adopt it, or ask for the whole."""
-    if message.changed.version <= tables.snapshot.version:
+    known = tables.snapshot.version
+    if not versions.has_news(message.changed.version, known):
         return []
     snapshot = deltas.apply(tables.snapshot, message)
     if snapshot is None:
@@ -147,12 +156,30 @@
     """Answer with the whole configuration if it is newer."""
     link = tables.links_by_peer.get(peer)
     version = tables.snapshot.version
-    if link is None or version <= message.version:
+    if link is None or not versions.has_news(version, message.version):
         return []
     tables.links_by_peer[peer] = dataclasses.replace(link, sent=version)
     return [_effects.Send(peer=peer, message=_whole(tables))]
 
 
+def _merged(old: agreed.Snapshot, new: agreed.Snapshot) -> agreed.Snapshot:
+    """Return the newer of each part; ``new`` itself if it has both."""
+    configured, moved = old, old
+    if new.source_version >= old.source_version:
+        configured = new
+    if versions.log_part(new.version) >= versions.log_part(old.version):
+        moved = new
+    if configured is moved:
+        return configured
+    return dataclasses.replace(
+        configured,
+        version=versions.joined(old.version, new.version),
+        shares_by_service=moved.shares_by_service,
+        rollouts_by_id=moved.rollouts_by_id,
+        blocked=moved.blocked,
+    )
+
+
 def _hand_down(tables: node.Tables) -> list[_effects.Effect]:
     # Neighbours with the same base share one message object, which the
     # shell encodes once.
@@ -160,8 +187,9 @@
     by_base: dict[int, messages.Message] = {}
     effects: list[_effects.Effect] = []
     for link in list(tables.links_by_peer.values()):
-        base = max(link.version, link.sent)
-        if link.role is not links.LinkRole.CHILD or base >= version:
+        base = versions.joined(link.version, link.sent)
+        down = link.role is not links.LinkRole.PARENT
+        if not down or not versions.has_news(version, base):
             continue
         if base not in by_base:
             by_base[base] = _update(tables, base)
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -73,6 +73,19 @@
     return effects
 
 
+def on_roster(
+    tables: node.Tables, event: _effects.RosterRead, now: _clock.Instant
+) -> list[_effects.Effect]:
+    """Use kept rows until the nodes themselves are heard of."""
+    for row in event.rows:
+        other = row.node != tables.member.node
+        if other and table.is_news(tables, row):
+            table.put(tables, row, now)
+    if not tables.spread.view_due:
+        return []
+    return [distribution.view(tables)]
+
+
 def on_update(
     tables: node.Tables,
     peer: str,
--- a/src/arbutusstall/_systems/progress.py
+++ b/src/arbutusstall/_systems/progress.py
@@ -6,6 +6,7 @@
 from arbutusstall import _effects
 from arbutusstall._tables import links
 from arbutusstall._tables import node
+from arbutusstall._tables import versions
 from arbutusstall._wire import messages
 
 _REPORT_S = 0.2
@@ -88,7 +89,7 @@
             continue
         known += link.known
         in_force += _having(link, version)
-        minimum = min(minimum, link.minimum)
+        minimum = versions.lowest(minimum, link.minimum)
         lacking += _lacking(link, version)
     return messages.InForce(
         version=version,
@@ -159,14 +160,15 @@
 
 
 def _having(link: links.Link, version: int) -> int:
-    if link.minimum >= version:
+    if not versions.has_news(version, link.minimum):
         return link.known
-    return link.in_force if link.version >= version else 0
+    behind = versions.has_news(version, link.version)
+    return 0 if behind else link.in_force
 
 
 def _lacking(link: links.Link, version: int) -> tuple[str, ...]:
-    if link.minimum >= version:
+    if not versions.has_news(version, link.minimum):
         return ()
-    if link.version < version:
+    if versions.has_news(version, link.version):
         return (link.peer, *link.lacking)
     return link.lacking
--- a/src/arbutusstall/_systems/publication.py
+++ b/src/arbutusstall/_systems/publication.py
@@ -1,7 +1,9 @@
-"""Takes what an external source publishes into the log, and reports back.
+"""Takes up what an external source publishes, and reports back.
 
-Every root reads the source. The leader appends first; the others follow
-one after the other if the fold does not show the publication by then.
+Every node that reads the log reads the source. A configuration is in
+force where it is read, and the tree carries it on. An order for a
+rollout goes through the log: the leader appends it first; other roots
+follow one after the other if the fold does not show it by then.
 """
 
 import dataclasses
@@ -9,6 +11,7 @@
 from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall._log import records
+from arbutusstall._systems import distribution
 from arbutusstall._systems import lease
 from arbutusstall._systems import progress
 from arbutusstall._systems import rendezvous
@@ -16,6 +19,7 @@
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 from arbutusstall._tables import node
+from arbutusstall._tables import versions
 
 _TURN_S = 0.25
 _AGAIN_S = 1.0
@@ -28,30 +32,30 @@
 def on_published(
     tables: node.Tables, event: _effects.Published, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Keep a whole configuration that is newer than the known one."""
-    table = tables.publications
-    known = table.configuration
-    if known is not None and event.source_version <= known.source_version:
+    """Put a whole configuration in force if it is newer."""
+    old = tables.snapshot
+    if event.source_version <= old.source_version:
         return []
-    table.configuration = records.ConfigurationRecord(
-        record_id=f"configuration/{event.source_version}",
+    log_part = versions.log_part(old.version)
+    snapshot = dataclasses.replace(
+        old,
+        version=versions.combined(event.source_version, log_part),
         source_version=event.source_version,
-        services=event.services,
-        routes=event.routes,
+        services_by_name={item.name: item for item in event.services},
+        routes_by_prefix={item.prefix: item for item in event.routes},
         limits=event.limits,
     )
-    table.configuration_due_s = now.mono_s + _turn_s(tables, now)
     effects: list[_effects.Effect] = [
         _effects.Emit(
             event="configuration-read",
             fields={
                 "source_version": event.source_version,
-                "in_force": tables.snapshot.source_version,
+                "before": old.source_version,
                 "routes": len(event.routes),
             },
         )
     ]
-    return effects + _append_configuration(tables, now)
+    return effects + distribution.adopt(tables, snapshot, now)
 
 
 def on_ordered(
@@ -98,29 +102,12 @@
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
     """Append what is due, and report how rollouts stand."""
-    effects = _append_configuration(tables, now)
-    effects += _append_orders(tables, now)
+    effects = _append_orders(tables, now)
     if lease.is_leader(tables, now):
         effects += _reports(tables, now)
     return effects
 
 
-def _append_configuration(
-    tables: node.Tables, now: _clock.Instant
-) -> list[_effects.Effect]:
-    table = tables.publications
-    record = table.configuration
-    if record is None or not _may_append(tables):
-        return []
-    folded = tables.agreed.snapshot.source_version
-    if record.source_version <= folded or now.mono_s < (
-        table.configuration_due_s
-    ):
-        return []
-    table.configuration_due_s = now.mono_s + _AGAIN_S
-    return [_effects.Append(record=record)]
-
-
 def _append_orders(
     tables: node.Tables, now: _clock.Instant
 ) -> list[_effects.Effect]:
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -18,6 +18,7 @@
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import relay
+from arbutusstall._tables import versions
 from arbutusstall._wire import messages
 
 # A node that did not run for so long cannot judge its links by silence.
@@ -79,7 +80,7 @@
     if role is links.LinkRole.CHILD:
         effects.append(_effects.Send(peer=peer, message=_roots_update(tables)))
         effects += distribution.hand_to(tables, peer)
-    if message.version > tables.snapshot.version:
+    if versions.has_news(message.version, tables.snapshot.version):
         effects += distribution.ask(tables, peer, now)
     return effects
 
@@ -161,7 +162,7 @@
     effects: list[_effects.Effect] = []
     if link.role is links.LinkRole.PARENT:
         effects += _set_attached(tables, message.attached, now)
-    if message.version > tables.snapshot.version:
+    if versions.has_news(message.version, tables.snapshot.version):
         effects += distribution.ask(tables, peer, now)
     if link.role is not links.LinkRole.CHILD:
         effects += membership.compare(tables, peer, message.members, now)
@@ -208,7 +209,10 @@
         event="parent-lost",
         fields={"peer": event.peer, "reason": event.reason},
     )
-    return [emit, *_set_attached(tables, False, now)]
+    effects = [emit, *_set_attached(tables, False, now)]
+    if admit.local_size(tables) <= tables.settings.relay.detached_readers:
+        effects += root_claims.follow(tables)
+    return effects
 
 
 def on_left(
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -235,7 +235,8 @@
 
     Attributes:
         version: Log offset of the newest record that changed it, plus
-            one; zero for the empty configuration.
+            one, with ``source_version`` in its upper part, see
+            `versions`; zero for the empty configuration.
         rollouts_by_id: Running rollouts and, for each service, the
             newest that ended.
         blocked: Versions that the newest verdicts of each service
--- a/src/arbutusstall/_tables/publications.py
+++ b/src/arbutusstall/_tables/publications.py
@@ -8,21 +8,17 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PublicationTable:
-    """Publications on their way to the log, and reports back.
+    """Orders on their way to the log, and reports back.
 
     Times are monotonic seconds.
 
     Attributes:
-        configuration: Newest whole configuration that was read.
-        configuration_due_s: When to append it, unless it is folded.
         orders_by_id: Orders that were read and are not folded yet.
         order_due_s_by_id: When to append them.
         reported_by_service: What was last told of each service's rollout.
         ended_s_by_rollout: When the end of a rollout was seen here.
     """
 
-    configuration: records.ConfigurationRecord | None = None
-    configuration_due_s: float = 0.0
     orders_by_id: dict[str, records.RolloutOrder] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/src/arbutusstall/_tables/versions.py
@@ -0,0 +1,48 @@
+"""Versions of the configuration in force.
+
+A version has two parts that grow independently of each other: that of
+an external source and the position in the log. One integer holds both,
+so that a configuration without an external source has the log position
+alone as its version.
+"""
+
+_LOG_BITS = 40
+_LOG_MASK = (1 << _LOG_BITS) - 1
+
+
+def combined(source: int, log: int) -> int:
+    """Return the version with these parts."""
+    return source << _LOG_BITS | log
+
+
+def source_part(version: int) -> int:
+    """Return the external source's part."""
+    return version >> _LOG_BITS
+
+
+def log_part(version: int) -> int:
+    """Return the position in the log."""
+    return version & _LOG_MASK
+
+
+def has_news(version: int, known: int) -> bool:
+    """Tell whether ``version`` is newer than ``known`` in any part."""
+    return source_part(version) > source_part(known) or (
+        log_part(version) > log_part(known)
+    )
+
+
+def joined(one: int, other: int) -> int:
+    """Return the version that has the newer of both in each part."""
+    return combined(
+        max(source_part(one), source_part(other)),
+        max(log_part(one), log_part(other)),
+    )
+
+
+def lowest(one: int, other: int) -> int:
+    """Return the version that has the older of both in each part."""
+    return combined(
+        min(source_part(one), source_part(other)),
+        min(log_part(one), log_part(other)),
+    )
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -10,12 +10,12 @@
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import log_output
 from arbutusstall._proxy import node as nodes
-from arbutusstall.platform import departures
 from arbutusstall.platform import dialect
 from arbutusstall.platform import endpoints
 from arbutusstall.platform import log
 from arbutusstall.platform import operator
 from arbutusstall.platform import reloading
+from arbutusstall.platform import roster
 from arbutusstall.platform import settings as platform_settings
 from arbutusstall.platform import store as stores
 
@@ -46,7 +46,7 @@
             dialect=dialect.PlatformDialect(settings.service, settings.ip),
             log=log.StoreLog(store),
             source=operator.OperatorSource(store),
-            departures=departures.StoreDepartures(store, settings.node.node),
+            roster=roster.StoreRoster(store),
             notice_s=settings.notice_s,
             grace_s=settings.grace_s,
             target_silent_s=settings.target_silent_s,
--- /dev/null
+++ b/src/arbutusstall/platform/roster.py
@@ -0,0 +1,53 @@
+"""The roster of nodes as a keyed topic of the platform's store."""
+
+import logging
+
+import msgspec
+
+from arbutusstall._log import roster
+from arbutusstall.platform import store as stores
+
+LOG = logging.getLogger(__name__)
+
+_TOPIC = "keyed.arbutusstall-roster"
+
+
+class StoreRoster:
+    """One record a node; see `arbutusstall._log.roster`."""
+
+    def __init__(self, store: stores.Store) -> None:
+        self._store = store
+
+    def load(self) -> tuple[roster.RosterEntry, ...]:
+        """Return the entries of all nodes; unreadable ones are left out.
+
+        Raises:
+            LogUnavailable: No answer.
+        """
+        entries = []
+        for record in self._store.newest(_TOPIC).records:
+            try:
+                entry = msgspec.json.decode(
+                    record.value, type=roster.RosterEntry
+                )
+            except msgspec.MsgspecError as exc:
+                LOG.warning(
+                    {
+                        "event": "record-skipped",
+                        "key": record.key,
+                        "reason": str(exc),
+                    }
+                )
+                continue
+            entries.append(entry)
+        return tuple(entries)
+
+    def save(self, entry: roster.RosterEntry) -> None:
+        """Keep the newest entry of a node.
+
+        Raises:
+            LogUnavailable: No answer; it may be stored all the same.
+        """
+        value = msgspec.json.encode(entry)
+        key = entry.member.node
+        self._store.append(_TOPIC, stores.keyed_value(key, value))
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -157,6 +157,7 @@
             expire_s=6.0,
             forget_s=20.0,
             retry_cap_s=1.0,
+            detached_readers=64,
         ),
         rollout=_settings.RolloutSettings(watch_s=2.0),
         calls=_settings.CallSettings(
