Choose endpoints by cost and bound queues by aim

Change: an endpoint's cost is its slowness, queue, errors and distance; only lost calls eject. A request waits for a slot only while its objective can be met; nested calls wait by their deadline. Scenarios run nodes as processes against stand-ins of the platform's store and targets.

Conclusion: open; the nested calls that are refused are looked at next.

--- /dev/null
+++ b/features/platform_path.feature
@@ -0,0 +1,51 @@
+Feature: Nodes on the platform, against stand-ins of store and targets
+  Scenario: requests reach the right target with the right headers
+    Given nodes on the platform for kvoty, kvoty and vazeni
+    When the operator publishes version 3 with routes to both services
+    Then a request for each service is answered with its signature
+    And its target saw the caller's service and no longer deadline
+    And a request without a route gets 404
+
+  Scenario: a node without a configuration answers 503, not 404
+    Given nodes on the platform for kvoty
+    Then a request is refused with 503 and a Retry-After
+    And the node is not ready
+
+  Scenario: a new configuration is in force everywhere within 2 seconds
+    Given nodes on the platform for kvoty, kvoty and vazeni
+    When the operator publishes version 3 with routes to both services
+    And the operator publishes version 8 that moves a route to vazeni
+    Then within 2 seconds every node sends it to vazeni
+
+  Scenario: a target that leaves gets nothing, and a restart does not forget
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the first target says that it drains
+    Then 20 requests are all answered by the other target
+    When its node is killed and a late heartbeat reaches the next process
+    Then 20 requests are all answered by the other target
+
+  Scenario: a restarted mesh serves from the store alone
+    Given nodes on the platform for kvoty and vazeni
+    And the operator publishes version 3 with routes to both services
+    When all nodes are killed and the targets fall silent
+    And the nodes are started again
+    Then a request for each service is answered with its signature
+
+  Scenario: a lost answer of a booking is not sent again
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the targets reset the connections of what they run
+    Then a booking gets 502 and ran once
+
+  Scenario: a change of the settings does not end the node
+    Given nodes on the platform for kvoty
+    And the operator publishes version 3 with routes to both services
+    When the node gets SIGHUP with a changed, then with a broken file
+    Then it says so each time and still answers
+
+  Scenario: a node that stops finishes what is in flight
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When a node is stopped while it waits for a slow target
+    Then the answer arrives whole and the node ends with code 0
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -200,7 +200,8 @@
 def far_chosen(context):
     """With all near slots taken."""
     for name in ("near-0", "near-1"):
-        context.balancer.answered(name, 10, 10, _NOW_S)
+        report = balancing.Report(in_flight=10, slots=10)
+        context.balancer.answered(name, report, _NOW_S)
     assert set(_chosen(context)) == {"far-0", "far-1"}
 
 
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -189,6 +189,7 @@
                 call.deadline_ms,
                 rank=call.rank,
                 route=call.route,
+                aim_ms=call.aim_ms,
             )
         if target is None or decision.verdict is admission.Verdict.REFUSE:
             self._answer(call, done, _turned_away(call, decision))
@@ -369,7 +370,8 @@
             self._counter.count(call, answer, taken_s)
         self._log_end(running, answer, taken_s)
         promoted = self.admission.end(call.call_id, now_ms)
-        self._answer(call, running.done, answer)
+        taken_ms = max(1, int(taken_s * 1000))
+        self._answer(call, running.done, answer, taken_ms)
         for done in running.waiting:
             self._tell_end(call, done)
         self._start(promoted)
@@ -421,6 +423,7 @@
         call: messages.CallRequest,
         done: Done,
         answer: messages.CallAnswer,
+        taken_ms: int = 0,
     ) -> None:
         if answer.not_run:
             call_metrics.REFUSALS.labels(call.service, answer.not_run).inc()
@@ -431,6 +434,7 @@
                 slots=self.admission.slots,
                 incarnation=self.incarnation,
                 clock_ms=self.now_ms(),
+                taken_ms=taken_ms,
             )
         )
 
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -208,6 +208,7 @@
             call_id=f"{self._prefix}-{next(self._numbers):x}",
             version=version,
             deadline_ms=left_ms,
+            aim_ms=self._aim_ms(running),
         )
         running.tried.add(member.node)
         self._balancer.sent(member.node)
@@ -229,7 +230,7 @@
         if running.ended:
             return
         if isinstance(result, messages.CallAnswer):
-            self._learn(member, result)
+            self._learn(member, running.call.route, result)
             self._decide(running, _attempt_of(running.call, result))
         elif isinstance(result, errors.PeerUnavailable):
             self._failed(member, unreachable=True)
@@ -366,6 +367,8 @@
                 "node": running.member.node if running.member else "-",
                 "config": self._view.snapshot.source_version
                 or self._view.snapshot.version,
+                "rank": call.rank,
+                "left_ms": call.deadline_ms,
                 "sends": running.sends,
                 "refusals": running.refusals,
                 "held_ms": self._held_ms(running),
@@ -435,20 +438,24 @@
         exchange.answer(self._dialect.failure(failure))
 
     def _learn(
-        self, member: members.Member, answer: messages.CallAnswer
+        self, member: members.Member, route: str, answer: messages.CallAnswer
     ) -> None:
         if answer.not_run in _OUT_OF_SERVICE:
             self._failed(member, unreachable=True)
-        elif answer.not_run:
-            self._balancer.loaded(
-                member.node, answer.in_flight, answer.slots, self._loop.time()
-            )
-        elif answer.unknown or answer.status >= _SERVER_ERROR:
+            return
+        if answer.unknown:
             self._failed(member, unreachable=False)
-        else:
-            self._balancer.answered(
-                member.node, answer.in_flight, answer.slots, self._loop.time()
-            )
+            return
+        # An error of a target may come from a call further down: it makes
+        # the endpoint less attractive, but does not take it out.
+        report = balancing.Report(
+            in_flight=answer.in_flight,
+            slots=answer.slots,
+            route=route,
+            taken_ms=0 if answer.not_run else answer.taken_ms,
+            failed=answer.status >= _SERVER_ERROR,
+        )
+        self._balancer.answered(member.node, report, self._loop.time())
 
     def _failed(self, member: members.Member, *, unreachable: bool) -> None:
         self._balancer.failed(member.node, self._loop.time(), unreachable)
@@ -460,6 +467,16 @@
             self._budgets_by_service[service] = budget
         return budget
 
+    def _aim_ms(self, running: _Running) -> int:
+        """Return the time left to the objective; nested calls have none.
+
+        A nested call that is refused wastes the work above it.
+        """
+        target_ms = running.route.target_latency_ms
+        if running.incoming.nested or not target_ms:
+            return 0
+        return max(1, target_ms - self._held_ms(running))
+
     def _held_ms(self, running: _Running) -> int:
         return int((self._loop.time() - running.started_s) * 1000)
 
--- a/src/arbutusstall/_shell/dispatch.py
+++ b/src/arbutusstall/_shell/dispatch.py
@@ -314,8 +314,9 @@
             with self._lock:
                 self._balancer.answered(
                     member.node,
-                    answer.in_flight,
-                    answer.slots,
+                    balancing.Report(
+                        in_flight=answer.in_flight, slots=answer.slots
+                    ),
                     time.monotonic(),
                 )
 
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -20,6 +20,8 @@
 _START_SERVICE_MS = 10.0
 _MIN_RETRY_AFTER_MS = 10
 _MOST_ROUTES = 1_000
+# Part of the objective that a request may wait at a slow target.
+_LEAST_PATIENCE = 0.25
 
 
 class Verdict(enum.Enum):
@@ -116,6 +118,7 @@
         solo: bool = False,
         rank: int = 0,
         route: str = "",
+        aim_ms: int = 0,
     ) -> Decision:
         """Ask for a slot.
 
@@ -124,6 +127,9 @@
             solo: Whether the request must be alone at the target.
             rank: Requests of a lower rank start first.
             route: Requests of one route take about the same time.
+            aim_ms: Time left to the latency objective; 0 if there is
+                none. Nobody waits for a slot until the objective cannot
+                be met: under lasting overload everyone would be late.
         """
         if self.table.get(ticket.call_id) is not None:
             return _refuse(self.table.admit(ticket, now_ms))
@@ -134,7 +140,11 @@
         place = self._place(rank)
         expected_ms = self._expected_wait_ms(place)
         waits = self._must_wait(solo)
-        patience_ms = min(self._queue_ms, deadline_ms - self._taken_ms(route))
+        taken_ms = self._taken_ms(route)
+        patience_ms = min(self._queue_ms, deadline_ms - taken_ms)
+        if aim_ms:
+            least_ms = int(aim_ms * _LEAST_PATIENCE)
+            patience_ms = min(patience_ms, max(least_ms, aim_ms - taken_ms))
         full = len(self._queue) >= self._queue_limit
         if waits and (
             expected_ms > patience_ms or (full and place == len(self._queue))
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -1,4 +1,9 @@
-"""Chooses an endpoint by locality, load and recent failures."""
+"""Chooses an endpoint by locality, load, speed and recent failures.
+
+Each endpoint has a cost: how long it is likely to take, as a multiple of
+what its service usually takes, raised by its queue, its failures and the
+way to another data centre. The cheapest of a few is chosen.
+"""
 
 from collections import abc
 import dataclasses
@@ -8,14 +13,27 @@
 from arbutusstall import _effects
 from arbutusstall._tables import members
 
-_SPILL_LOAD = 0.8
 _FAILURES_TO_EJECT = 3
 _EJECT_BASE_S = 0.5
 _EJECT_CAP_S = 30.0
 _STAYING_SHARE = 0.5
 _SLOW_START_S = 5.0
-_SLOW_START_WEIGHT = 0.1
+_SLOW_START_SHARE = 0.1
 _REPORT_FRESH_S = 1.0
+# Cost of the way to another data centre, as a part of a usual call.
+_FAR_COST = 0.15
+# Endpoints of a service differ in speed; up to this they count as equal.
+_USUAL_SLOWNESS = 2.0
+_SMOOTHING = 0.15
+_ROUTE_SMOOTHING = 0.05
+# What was seen of an endpoint that gets no calls is believed less.
+_MEMORY_S = 4.0
+# A failed call costs its caller more than a slow one.
+_FAILURE_POWER = 3.0
+_MOST_FAILING = 0.9
+_MOST_SLOWNESS = 30.0
+# More candidates would make many callers choose the same endpoint.
+_CANDIDATES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,6 +45,9 @@
         in_flight: Requests at the target by its last answer.
         slots: Requests the target runs at once by its last answer.
         reported_s: Monotonic time of the last answer.
+        slowness: Time that its calls take, as a multiple of what calls
+            of the same route usually take.
+        failing: Recent part of its answers that tell of an error.
         failures: Failures since the last good answer.
         ejections: Ejections since the last good answer.
         ejected_until_s: Monotonic time until which it is avoided.
@@ -37,12 +58,33 @@
     in_flight: int = 0
     slots: int = 0
     reported_s: float = -math.inf
+    slowness: float = 1.0
+    failing: float = 0.0
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = -math.inf
     first_seen_s: float = -math.inf
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """What an answer tells of its endpoint.
+
+    Attributes:
+        in_flight: Requests at the target and in its queue.
+        slots: Requests that the target runs at once.
+        route: Route of the call; calls of one route are alike.
+        taken_ms: How long the target took; zero if it did not run.
+        failed: Whether the answer tells of an error.
+    """
+
+    in_flight: int
+    slots: int
+    route: str = ""
+    taken_ms: float = 0.0
+    failed: bool = False
+
+
 class Balancer:
     """Load and failures of the endpoints; not thread-safe."""
 
@@ -50,6 +92,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._endpoints_by_node: dict[str, Endpoint] = {}
+        self._usual_ms_by_route: dict[str, float] = {}
 
     def put_in_force(self, view: _effects.View, now_s: float) -> None:
         """Take over which endpoints there are."""
@@ -84,16 +127,11 @@
             row for row in self._staying(rows, now_s) if row.node not in tried
         ]
         near = [row for row in rows if row.data_centre == self._data_centre]
-        if not near:
-            return self._pick(rows, now_s)
-        best = self._pick(near, now_s)
         far = [row for row in rows if row.data_centre != self._data_centre]
-        if best is None or not far or self._load(best, now_s) < _SPILL_LOAD:
-            return best
-        other = self._pick(far, now_s)
-        if other and self._load(other, now_s) < self._load(best, now_s):
-            return other
-        return best
+        candidates = self._some(near, now_s) + self._some(far, now_s)
+        if not candidates:
+            return rows[0] if rows else None
+        return min(candidates, key=lambda row: self._cost(row, now_s))
 
     def sent(self, node: str) -> None:
         """Note that a call was sent to ``node``."""
@@ -103,40 +141,33 @@
         )
 
     def released(self, node: str) -> None:
-        """Note that a call was not sent to ``node`` after all."""
+        """Note that a call was given up, or was not sent after all."""
         old = self._get(node)
         self._endpoints_by_node[node] = dataclasses.replace(
             old, outstanding=max(0, old.outstanding - 1)
         )
 
-    def loaded(
-        self, node: str, in_flight: int, slots: int, now_s: float
-    ) -> None:
-        """Note the load that a refusal of ``node`` carried."""
-        old = self._get(node)
-        self._endpoints_by_node[node] = dataclasses.replace(
-            old,
-            outstanding=max(0, old.outstanding - 1),
-            in_flight=in_flight,
-            slots=slots,
-            reported_s=now_s,
-        )
-
-    def answered(
-        self, node: str, in_flight: int, slots: int, now_s: float
-    ) -> None:
-        """Note a good answer of ``node`` and the load it carried."""
+    def answered(self, node: str, report: Report, now_s: float) -> None:
+        """Note an answer of ``node``, or a refusal to start a call."""
         old = self._get(node)
+        slowness, failing = old.slowness, old.failing
+        if report.taken_ms > 0.0:
+            faded = self._faded(old, now_s)
+            seen = min(self._relative(report), _MOST_SLOWNESS)
+            slowness = faded + _SMOOTHING * (seen - faded)
+            failing += _SMOOTHING * (float(report.failed) - failing)
         self._endpoints_by_node[node] = Endpoint(
             outstanding=max(0, old.outstanding - 1),
-            in_flight=in_flight,
-            slots=slots,
+            in_flight=report.in_flight,
+            slots=report.slots,
             reported_s=now_s,
+            slowness=slowness,
+            failing=failing,
             first_seen_s=old.first_seen_s,
         )
 
     def failed(self, node: str, now_s: float, unreachable: bool) -> None:
-        """Note a failed call; eject the endpoint after some in a row."""
+        """Note a lost call; eject the endpoint after some in a row."""
         old = self._get(node)
         failures = old.failures + 1
         ejections, until_s = old.ejections, old.ejected_until_s
@@ -169,25 +200,51 @@
             staying = sorted(rows, key=until_s)[:least]
         return staying
 
-    def _pick(
+    def _some(
         self, rows: list[members.Member], now_s: float
-    ) -> members.Member | None:
-        if len(rows) < 2:
-            return rows[0] if rows else None
-        weights = [self._weight(row.node, now_s) for row in rows]
-        one, two = self._rng.choices(rows, weights, k=2)
-        return min(one, two, key=lambda row: self._load(row, now_s))
-
-    def _weight(self, node: str, now_s: float) -> float:
-        age_s = now_s - self._get(node).first_seen_s
+    ) -> list[members.Member]:
+        """Draw candidates; one that has just appeared is drawn rarely."""
+        warm = [row for row in rows if self._takes_part(row, now_s)]
+        if len(warm) > _CANDIDATES:
+            return self._rng.sample(warm, _CANDIDATES)
+        self._rng.shuffle(warm)
+        return warm
+
+    def _takes_part(self, row: members.Member, now_s: float) -> bool:
+        age_s = now_s - self._get(row.node).first_seen_s
         if age_s >= _SLOW_START_S:
-            return 1.0
-        return max(_SLOW_START_WEIGHT, age_s / _SLOW_START_S)
-
-    def _load(self, row: members.Member, now_s: float) -> float:
+            return True
+        share = max(_SLOW_START_SHARE, age_s / _SLOW_START_S)
+        return self._rng.random() < share
+
+    def _relative(self, report: Report) -> float:
+        usual_ms = self._usual_ms_by_route.get(report.route, report.taken_ms)
+        # Slow outliers must not become the measure of the others.
+        seen_ms = min(report.taken_ms, 4.0 * usual_ms)
+        usual_ms += _ROUTE_SMOOTHING * (seen_ms - usual_ms)
+        self._usual_ms_by_route[report.route] = usual_ms
+        return report.taken_ms / max(usual_ms, 1.0)
+
+    def _faded(self, endpoint: Endpoint, now_s: float) -> float:
+        age_s = max(0.0, now_s - endpoint.reported_s)
+        return 1.0 + (endpoint.slowness - 1.0) * math.exp(-age_s / _MEMORY_S)
+
+    def _cost(self, row: members.Member, now_s: float) -> float:
         endpoint = self._get(row.node)
+        slots = max(1, endpoint.slots or row.slots)
         reported = endpoint.in_flight
-        if now_s - endpoint.reported_s > _REPORT_FRESH_S:
+        age_s = now_s - endpoint.reported_s
+        if age_s > _REPORT_FRESH_S:
             reported = 0
         busy = max(reported, endpoint.outstanding)
-        return busy / max(1, endpoint.slots or row.slots)
+        queued = max(0, busy + 1 - slots) / slots
+        slowness = self._faded(endpoint, now_s)
+        cost = max(1.0, slowness / _USUAL_SLOWNESS) + slowness * queued
+        # Among idle endpoints the emptier one goes first.
+        cost += 0.1 * min(1.0, busy / slots)
+        failing = min(_MOST_FAILING, endpoint.failing)
+        failing *= math.exp(-max(0.0, age_s) / _MEMORY_S)
+        cost /= math.pow(1.0 - failing, _FAILURE_POWER)
+        if row.data_centre != self._data_centre:
+            cost += _FAR_COST
+        return cost
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -207,6 +207,7 @@
         key: The caller's Idempotency-Key, empty if there is none.
         depth: Number of calls above this one in the chain.
         rank: Requests of a lower rank start first.
+        aim_ms: Time left to the latency objective; 0 if there is none.
     """
 
     call_id: str
@@ -225,6 +226,7 @@
     key: str = ""
     depth: int = 0
     rank: int = 0
+    aim_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -238,6 +240,7 @@
         slots: Requests that the target runs at once.
         incarnation: Incarnation of the inbound proxy.
         clock_ms: The inbound proxy's clock when the answer left.
+        taken_ms: How long the target took; 0 if it was not asked.
     """
 
     call_id: str
@@ -252,6 +255,7 @@
     slots: int = 0
     incarnation: int = 0
     clock_ms: int = 0
+    taken_ms: int = 0
 
 
 class RevokeState(enum.Enum):
--- /dev/null
+++ b/tests/platform_mesh.py
@@ -0,0 +1,254 @@
+"""Runs nodes as the platform does, against stand-ins of store and targets."""
+
+from collections import abc
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import ports
+from standins import endpoint
+from standins import store
+
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SETTINGS = """\
+nodeId = "{node}"
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "main"
+internalPorts = [{internal},{internal}]
+heartbeat = "300ms"
+service = "{service}"
+bounds = ["grace=4s","retryBudgetRatio=0.2"]
+[listen]
+outbound = "127.0.0.1:{outbound}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[limits]
+maxFds = 4100
+[platform]
+address = "{store}"
+keep = "20s"
+"""
+
+
+def route(
+    service: str,
+    *,
+    host: str = "a.example",
+    prefix: str = "/x/",
+    kind: str = "idempotent",
+    **more: object,
+) -> dict[str, object]:
+    """Return a route as the operator writes it."""
+    return {
+        "host": host,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeout": "1500ms",
+        "targetLatency": "500ms",
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def configuration(
+    version: int, routes: dict[str, dict[str, object]]
+) -> dict[str, object]:
+    """Return a whole configuration with the services of its routes."""
+    services = {
+        str(part["service"])
+        for item in routes.values()
+        for part in item.get("trafficSplit", [item])  # type: ignore
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": {
+            name: {"healthPath": "/health", "maxConnections": 100}
+            for name in services
+        },
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+    }
+
+
+@dataclasses.dataclass(kw_only=True)
+class NodeProcess:
+    """One node process and its addresses."""
+
+    name: str
+    service: str
+    callers: str
+    ready: str
+    control: str
+    settings: pathlib.Path
+    output: pathlib.Path
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.output.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "node.py")],
+                env={
+                    **os.environ,
+                    "ARBUTUSSTALL_NODE_FILE": str(self.settings),
+                    "PYTHONPATH": str(ROOT / "src"),
+                },
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self) -> None:
+        """End the process without warning."""
+        self._end(signal.SIGKILL)
+
+    def terminate(self) -> int:
+        """Ask the process to stop; return its exit code."""
+        return self._end(signal.SIGTERM)
+
+    def lines(self, event: str) -> list[str]:
+        """Return the lines that it wrote of an event."""
+        text = self.output.read_text(errors="replace")
+        return [
+            line
+            for line in text.splitlines()
+            if f"event={event} " in f"{line} "
+        ]
+
+    def is_ready(self) -> bool:
+        """Ask whether it takes callers."""
+        request = http.Request(
+            method="GET", url=f"http://{self.ready}/ready", fresh=True
+        )
+        try:
+            return http.send(request).status == 200
+        except errors.ArbutusstallError:
+            return False
+
+    def _end(self, number: int) -> int:
+        process = self.process
+        assert process is not None
+        process.send_signal(number)
+        return process.wait(timeout=10.0)
+
+
+class PlatformMesh:
+    """A store, nodes and targets; everything ends with `stop`."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self.server = store.Server(ports.take())
+        self.nodes_by_name: dict[str, NodeProcess] = {}
+        self.endpoints_by_node: dict[str, endpoint.Endpoint] = {}
+        self._directory = directory
+        self._requests = 0
+
+    @property
+    def store(self) -> store.Store:
+        """The store's content."""
+        return self.server.store
+
+    def add(self, name: str, service: str, zone: str = "lipno") -> NodeProcess:
+        """Start a node and the target beside it."""
+        addresses = {
+            part: ports.take() for part in ("outbound", "ready", "control")
+        }
+        settings = self._directory / f"{name}.toml"
+        settings.write_text(
+            _SETTINGS.format(
+                node=name,
+                zone=zone,
+                service=service,
+                internal=ports.take(),
+                store=self.server.address,
+                **addresses,
+            )
+        )
+        node = NodeProcess(
+            name=name,
+            service=service,
+            callers=f"127.0.0.1:{addresses['outbound']}",
+            ready=f"127.0.0.1:{addresses['ready']}",
+            control=f"127.0.0.1:{addresses['control']}",
+            settings=settings,
+            output=self._directory / f"{name}.log",
+        )
+        self.nodes_by_name[name] = node
+        node.start()
+        self.endpoints_by_node[name] = endpoint.Endpoint(
+            port=ports.take(),
+            control=node.control,
+            service=service,
+            instance=f"i-{name}",
+        )
+        return node
+
+    def send(
+        self,
+        name: str,
+        path: str = "/x/1",
+        *,
+        host: str = "a.example",
+        method: str = "GET",
+        body: bytes = b"",
+        request_id: str = "",
+    ) -> http.Response:
+        """Send a request through a node."""
+        self._requests += 1
+        address = self.nodes_by_name[name].callers
+        return http.send(
+            http.Request(
+                method=method,
+                url=f"http://{address}{path}",
+                headers=(
+                    ("Host", host),
+                    ("X-Request-Id", request_id or f"r-{self._requests}"),
+                    ("X-Deadline-Ms", "1500"),
+                ),
+                body=body,
+                timeout_s=3.0,
+                fresh=True,
+            )
+        )
+
+    def runs(self, request_id: str) -> int:
+        """Return how often targets ran a request."""
+        return sum(
+            seen.request_id == request_id
+            for item in self.endpoints_by_node.values()
+            for seen in item.seen
+        )
+
+    def stop(self) -> None:
+        """End everything that was started here."""
+        for item in self.endpoints_by_node.values():
+            item.stop()
+        for node in self.nodes_by_name.values():
+            if node.process is not None and node.process.poll() is None:
+                node.kill()
+        self.server.stop()
+
+
+def wait_until(
+    condition: abc.Callable[[], object], limit_s: float = 10.0
+) -> float:
+    """Wait for a condition; return how long it took in seconds."""
+    began_s = time.monotonic()
+    while time.monotonic() - began_s < limit_s:
+        if condition():
+            return time.monotonic() - began_s
+        time.sleep(0.02)
+    raise AssertionError(f"not within {limit_s} s")
--- /dev/null
+++ b/tests/standins/endpoint.py
@@ -0,0 +1,184 @@
+"""Stand-in for a target as the platform runs it, in the test process."""
+
+import dataclasses
+import socket
+import threading
+import time
+
+import msgspec
+from werkzeug import serving
+from werkzeug import wrappers
+
+from arbutusstall import errors
+from arbutusstall._shell import http
+
+_BEAT_S = 0.3
+_MISDIRECTED = 421
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Behaviour:
+    """How the endpoint answers.
+
+    Attributes:
+        delay_s: Time an answer takes.
+        status: Status of its answers.
+        signed: Whether answers carry a signature.
+        shed: Whether it turns requests away.
+        reset: Whether it runs requests but resets their connections.
+    """
+
+    delay_s: float = 0.0
+    status: int = 200
+    signed: bool = True
+    shed: bool = False
+    reset: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Seen:
+    """One request as the endpoint ran it."""
+
+    request_id: str
+    method: str
+    path: str
+    caller_service: str
+    deadline_ms: int
+    body: bytes
+
+
+class Endpoint:
+    """Announces itself to a node and runs requests."""
+
+    def __init__(
+        self,
+        *,
+        port: int,
+        control: str,
+        service: str,
+        instance: str,
+        version: str = "v1",
+        slots: int = 8,
+    ) -> None:
+        self.instance = instance
+        self.behaviour = Behaviour()
+        self.seen: list[Seen] = []
+        self.state = "ready"
+        self.acknowledged_s = 0.0
+        self._address = f"127.0.0.1:{port}"
+        self._control = control
+        self._service = service
+        self._version = version
+        self._slots = slots
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        self._stopped = threading.Event()
+        self._server = serving.make_server(
+            "127.0.0.1",
+            port,
+            self,
+            threaded=True,
+            request_handler=_Handler,
+        )
+        threading.Thread(
+            target=self._server.serve_forever, daemon=True
+        ).start()
+        threading.Thread(target=self._beat_on, daemon=True).start()
+
+    def __call__(self, environ, start_response):
+        """Answer one request (WSGI)."""
+        request = wrappers.Request(environ)
+        response = self._answer(request, environ)
+        return response(environ, start_response)
+
+    def drain(self) -> bool:
+        """Say that it leaves; return whether that was acknowledged."""
+        self.state = "draining"
+        return self.beat()
+
+    def leave(self) -> bool:
+        """Send the last message; return whether it was acknowledged."""
+        return self._send("DELETE", b"")
+
+    def beat(self, sequence: int | None = None, state: str = "") -> bool:
+        """Send one heartbeat; return whether it was acknowledged."""
+        self._sequence += 1
+        body = {
+            "address": self._address,
+            "born": self._born,
+            "info": {
+                "service": self._service,
+                "version": self._version,
+                "zone": "lipno",
+                "slots": self._slots,
+            },
+            "status": {
+                "state": state or self.state,
+                "sequence": sequence or self._sequence,
+                "coldRemaining": "0ms",
+            },
+        }
+        return self._send("PUT", msgspec.json.encode(body))
+
+    def stop(self) -> None:
+        """End without a word."""
+        self._stopped.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _beat_on(self) -> None:
+        while not self._stopped.wait(_BEAT_S):
+            if self.state == "ready":
+                self.beat()
+
+    def _send(self, method: str, body: bytes) -> bool:
+        request = http.Request(
+            method=method,
+            url=f"http://{self._control}/instances/{self.instance}",
+            body=body,
+            timeout_s=1.0,
+            fresh=True,
+        )
+        try:
+            return http.send(request).status == 200
+        except errors.ArbutusstallError:
+            return False
+
+    def _answer(self, request, environ):
+        headers = request.headers
+        request_id = headers.get("X-Request-Id", "")
+        named = headers.get("X-Target-Instance", self.instance)
+        if named != self.instance:
+            return wrappers.Response("", _MISDIRECTED)
+        behaviour = self.behaviour
+        if behaviour.shed:
+            shed = wrappers.Response("", 503)
+            shed.headers["X-Not-Executed"] = "1"
+            shed.headers["X-Request-Id"] = request_id
+            return shed
+        self.seen.append(
+            Seen(
+                request_id=request_id,
+                method=request.method,
+                path=request.full_path.rstrip("?"),
+                caller_service=headers.get("X-Caller-Service", ""),
+                deadline_ms=int(headers.get("X-Deadline-Ms", "0")),
+                body=request.get_data(),
+            )
+        )
+        time.sleep(behaviour.delay_s)
+        if behaviour.reset:
+            sock = environ["werkzeug.socket"]
+            sock.shutdown(socket.SHUT_RDWR)
+        response = wrappers.Response(f"{self.instance}\n", behaviour.status)
+        response.headers["X-Request-Id"] = request_id
+        if behaviour.signed:
+            response.headers["X-Response-Signature"] = f"of-{self.instance}"
+        return response
+
+
+class _Handler(serving.WSGIRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log(self, type, message, *args):
+        """Write no access log."""
