Know nested calls by the request that they belong to

Change: a call is nested if its id extends that of a request that the target beside the node runs now. Late answers are logged with where the time went. Scenarios of pressure and publication without a network.

--- /dev/null
+++ b/features/calls_pressure.feature
@@ -0,0 +1,44 @@
+Feature: Who waits, who is refused and where work goes under pressure
+  # Each scenario names a pattern of load and needs no network.
+
+  Scenario: calls of running requests overtake new requests
+    Given a target with 1 slot that takes 100 ms
+    When it is busy and new requests wait, then a nested call arrives
+    Then the nested call starts next
+
+  Scenario: a request that a more urgent one displaces is refused at once
+    Given a target with 1 slot that takes 100 ms
+    When 3 requests of low rank wait and 3 of high rank arrive
+    Then some of low rank are refused, none of high rank
+    And the refused ones never start
+
+  Scenario: under lasting overload nobody waits past the objective
+    Given a target with 4 slots that takes 100 ms
+    When requests with an objective of 300 ms arrive at twice its capacity
+    Then each that starts has waited at most 200 ms
+    And the slots are always in use
+
+  Scenario: short calls are not judged by the time of long ones
+    Given a target with 8 slots that takes 300 ms
+    When short nested calls of 20 ms with a deadline of 250 ms arrive
+    Then none of them is refused
+
+  Scenario: a slow endpoint gets less, and is tried again when it is well
+    Given a cost balancer over 4 endpoints
+    When one of them takes 10 times as long for a while
+    Then it gets less than a tenth of the calls
+    And some seconds after it is well it gets its part again
+
+  Scenario: errors of a call further down eject nobody
+    Given a cost balancer over 4 endpoints
+    When every endpoint answers with errors
+    Then all of them are still chosen
+
+  Scenario: an endpoint that fails fast does not attract calls
+    Given a cost balancer over 4 endpoints
+    When one of them answers half of its calls with errors, faster
+    Then it gets less than a tenth of the calls
+
+  Scenario: speeds that differ a little do not send calls far away
+    Given a cost balancer with a near endpoint at half speed and a far one
+    Then all calls stay near until its slots are full
--- /dev/null
+++ b/features/steps/pressure_steps.py
@@ -0,0 +1,306 @@
+"""Steps for admission and balancing under pressure, without a network."""
+
+import collections
+import random
+
+import behave
+
+from arbutusstall import _effects
+from arbutusstall._systems import admission
+from arbutusstall._systems import balancing
+from arbutusstall._systems import revocation
+from arbutusstall._tables import members
+
+_NOW_S = 1_000.0
+_DEADLINE_MS = 1_000
+
+
+class _Target:
+    """A target in virtual time behind an `admission.Admission`."""
+
+    def __init__(self, slots: int, taken_ms: int) -> None:
+        limits = revocation.Limits(
+            horizon_ms=60_000, entries=10_000, answer_bytes=1_000_000
+        )
+        self.table = revocation.CallTable(1, limits)
+        self.admission = admission.Admission(self.table, slots, 256, 1_500)
+        self.now_ms = 0
+        self.taken_ms = taken_ms
+        self.arrived_ms_by_id: dict[str, int] = {}
+        self.waited_ms_by_id: dict[str, int] = {}
+        self.refused: set[str] = set()
+        self.busy_ms = 0
+        self._ends: list[tuple[int, str]] = []
+        self._limits_by_id: dict[str, int] = {}
+        self._taken_ms_by_id: dict[str, int] = {}
+
+    def arrive(self, call_id: str, *, taken_ms: int = 0, **more) -> None:
+        """Ask for a slot."""
+        self.arrived_ms_by_id[call_id] = self.now_ms
+        self._taken_ms_by_id[call_id] = taken_ms or self.taken_ms
+        ticket = revocation.Ticket(
+            call_id=call_id, incarnation=1, sent_ms=self.now_ms
+        )
+        deadline_ms = more.pop("deadline_ms", _DEADLINE_MS)
+        decision = self.admission.begin(
+            ticket, self.now_ms, deadline_ms, **more
+        )
+        self.refused.update(decision.evicted)
+        if decision.verdict is admission.Verdict.REFUSE:
+            self.refused.add(call_id)
+        elif decision.verdict is admission.Verdict.START:
+            self._start(call_id)
+        else:
+            self._limits_by_id[call_id] = self.now_ms + decision.wait_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Let time pass, a millisecond at a time."""
+        for _ in range(duration_ms):
+            self.now_ms += 1
+            self.busy_ms += len(self._ends)
+            for end_ms, call_id in sorted(self._ends):
+                if end_ms <= self.now_ms:
+                    self._ends.remove((end_ms, call_id))
+                    for other in self.admission.end(call_id, self.now_ms):
+                        self._start(other)
+            for call_id, limit_ms in list(self._limits_by_id.items()):
+                if self.now_ms >= limit_ms:
+                    del self._limits_by_id[call_id]
+                    if self.admission.give_up(call_id, self.now_ms):
+                        self.refused.add(call_id)
+
+    def _start(self, call_id: str) -> None:
+        assert call_id not in self.refused, call_id
+        self._limits_by_id.pop(call_id, None)
+        waited_ms = self.now_ms - self.arrived_ms_by_id[call_id]
+        self.waited_ms_by_id[call_id] = waited_ms
+        end_ms = self.now_ms + self._taken_ms_by_id[call_id]
+        self._ends.append((end_ms, call_id))
+
+
+@behave.given("a target with {slots:d} slot that takes {taken_ms:d} ms")
+@behave.given("a target with {slots:d} slots that takes {taken_ms:d} ms")
+def make_target(context, slots, taken_ms):
+    """Let it learn its service time first."""
+    context.pressed = _Target(slots, taken_ms)
+    for number in range(40):
+        context.pressed.arrive(f"warm-{number}", route="long")
+        context.pressed.advance(taken_ms + 1)
+
+
+@behave.when("it is busy and new requests wait, then a nested call arrives")
+def nested_call(context):
+    """The nested call comes last."""
+    context.pressed.arrive("running", rank=1)
+    for number in range(3):
+        context.pressed.arrive(f"new-{number}", rank=1)
+    context.pressed.arrive("nested", rank=-1)
+    context.pressed.advance(101)
+
+
+@behave.then("the nested call starts next")
+def nested_next(context):
+    """Before those that came earlier."""
+    started = list(context.pressed.waited_ms_by_id)
+    assert started[-2:] == ["running", "nested"], started[-3:]
+
+
+@behave.when("3 requests of low rank wait and 3 of high rank arrive")
+def displace(context):
+    """The objective leaves room for three in the queue."""
+    context.pressed.arrive("running", rank=0)
+    for number in range(3):
+        context.pressed.arrive(f"low-{number}", rank=2, aim_ms=450)
+    for number in range(3):
+        context.pressed.arrive(f"high-{number}", rank=0, aim_ms=450)
+    context.refused_at_once = set(context.pressed.refused)
+    context.pressed.advance(1_000)
+
+
+@behave.then("some of low rank are refused, none of high rank")
+def low_refused(context):
+    """At once, not when their time is up."""
+    kinds = {name.partition("-")[0] for name in context.refused_at_once}
+    assert kinds == {"low"}, context.refused_at_once
+
+
+@behave.then("the refused ones never start")
+def never_start(context):
+    """A refusal stays true."""
+    started = context.pressed.waited_ms_by_id.keys()
+    assert not started & context.pressed.refused
+
+
+@behave.when(
+    "requests with an objective of 300 ms arrive at twice its capacity"
+)
+def overload(context):
+    """For ten seconds."""
+    target = context.pressed
+    target.busy_ms = 0
+    context.began_ms = target.now_ms
+    for number in range(800):
+        target.arrive(f"r-{number}", rank=1, route="long", aim_ms=300)
+        target.advance(12 if number % 2 else 13)
+
+
+@behave.then("each that starts has waited at most 200 ms")
+def short_waits(context):
+    """What is served is served in time."""
+    waits = [
+        waited_ms
+        for name, waited_ms in context.pressed.waited_ms_by_id.items()
+        if name.startswith("r-")
+    ]
+    assert len(waits) > 350, len(waits)
+    assert max(waits) <= 200, max(waits)
+
+
+@behave.then("the slots are always in use")
+def slots_used(context):
+    """Refusing is no reason to idle."""
+    target = context.pressed
+    total_ms = (target.now_ms - context.began_ms) * target.admission.slots
+    assert target.busy_ms > 0.97 * total_ms, target.busy_ms / total_ms
+
+
+@behave.when("short nested calls of 20 ms with a deadline of 250 ms arrive")
+def short_calls(context):
+    """Among long requests that keep all slots busy."""
+    target = context.pressed
+    for number in range(100):
+        target.arrive(f"long-{number}", rank=1, route="long", aim_ms=600)
+        target.arrive(
+            f"short-{number}",
+            taken_ms=20,
+            rank=-1,
+            route="short",
+            deadline_ms=250,
+        )
+        target.advance(40)
+
+
+@behave.then("none of them is refused")
+def none_refused(context):
+    """They start when the next slot is free."""
+    refused = {name for name in context.pressed.refused if "short" in name}
+    assert not refused, refused
+
+
+def _member(name, data_centre="lipno"):
+    return members.Member(
+        node=name,
+        data_centre=data_centre,
+        incarnation=1,
+        state=members.MemberState.SERVING,
+        service="kvoty",
+        version="v1",
+        slots=8,
+    )
+
+
+class _Traffic:
+    """Calls through a balancer in virtual time."""
+
+    def __init__(self, rows) -> None:
+        self.view = _effects.View(members_by_service={"kvoty": tuple(rows)})
+        self.balancer = balancing.Balancer("lipno", random.Random(3))
+        self.balancer.put_in_force(self.view, _NOW_S - 60.0)
+        self.now_s = _NOW_S
+        self.counts = collections.Counter()
+
+    def run(self, count, *, taken_ms=None, failing=None) -> None:
+        """Send calls 10 ms apart, each answered before the next."""
+        self.counts.clear()
+        for number in range(count):
+            self.now_s += 0.01
+            row = self.balancer.choose(self.view, "kvoty", "v1", self.now_s)
+            self.counts[row.node] += 1
+            self.balancer.sent(row.node)
+            report = balancing.Report(
+                in_flight=1,
+                slots=8,
+                route="r",
+                taken_ms=(taken_ms or {}).get(row.node, 100.0),
+                failed=number % 100 < 100 * (failing or {}).get(row.node, 0),
+            )
+            self.balancer.answered(row.node, report, self.now_s)
+
+
+@behave.given("a cost balancer over {count:d} endpoints")
+def cost_balancer(context, count):
+    """All near, after a calm time."""
+    rows = [_member(f"kvoty-{number}") for number in range(count)]
+    context.traffic = _Traffic(rows)
+    context.traffic.run(400)
+
+
+@behave.when("one of them takes 10 times as long for a while")
+def slow_one(context):
+    """The first calls find that out."""
+    slow = {"kvoty-0": 1_000.0}
+    context.traffic.run(100, taken_ms=slow)
+    context.traffic.run(400, taken_ms=slow)
+
+
+@behave.when("one of them answers half of its calls with errors, faster")
+def failing_one(context):
+    """The first calls find that out."""
+    fast, failing = {"kvoty-0": 20.0}, {"kvoty-0": 0.5}
+    context.traffic.run(100, taken_ms=fast, failing=failing)
+    context.traffic.run(400, taken_ms=fast, failing=failing)
+
+
+@behave.then("it gets less than a tenth of the calls")
+def little(context):
+    """An equal part is a quarter."""
+    counts = context.traffic.counts
+    assert counts["kvoty-0"] < 40, counts
+
+
+@behave.then("some seconds after it is well it gets its part again")
+def well_again(context):
+    """Without a call that tells so in between."""
+    context.traffic.now_s += 15.0
+    context.traffic.run(400)
+    assert context.traffic.counts["kvoty-0"] > 50, context.traffic.counts
+
+
+@behave.when("every endpoint answers with errors")
+def all_failing(context):
+    """Such as when a service further down is out."""
+    failing = {f"kvoty-{number}": 1.0 for number in range(4)}
+    context.traffic.run(400, failing=failing)
+
+
+@behave.then("all of them are still chosen")
+def all_chosen(context):
+    """None is ejected."""
+    counts = context.traffic.counts
+    assert len(counts) == 4, counts
+    assert min(counts.values()) > 40, counts
+
+
+@behave.given(
+    "a cost balancer with a near endpoint at half speed and a far one"
+)
+def near_half_speed(context):
+    """The far one is faster than usual."""
+    context.traffic = _Traffic([_member("near"), _member("far", "svet")])
+    context.traffic.run(200, taken_ms={"near": 150.0, "far": 75.0})
+
+
+@behave.then("all calls stay near until its slots are full")
+def stay_near(context):
+    """Then they go far."""
+    traffic = context.traffic
+    for _ in range(8):
+        row = traffic.balancer.choose(
+            traffic.view, "kvoty", "v1", traffic.now_s
+        )
+        assert row.node == "near"
+        traffic.balancer.sent(row.node)
+    for _ in range(3):
+        traffic.balancer.sent("near")
+    row = traffic.balancer.choose(traffic.view, "kvoty", "v1", traffic.now_s)
+    assert row.node == "far"
--- /dev/null
+++ b/features/steps/publication_steps.py
@@ -0,0 +1,223 @@
+"""Steps for what an external source publishes, run by the driver."""
+
+import random
+
+import behave
+import fleet
+
+from arbutusstall import _effects
+from arbutusstall import _notes
+from arbutusstall._log import records
+from arbutusstall._systems import announcements
+from arbutusstall._systems import routing
+from arbutusstall._tables import agreed
+
+_SERVICE = "ordered"
+
+
+def _published(version):
+    service = f"service-{version}"
+    return _effects.Published(
+        source_version=version,
+        services=(
+            agreed.Service(name=service),
+            agreed.Service(name=_SERVICE),
+        ),
+        routes=(
+            agreed.Route(prefix="a.example/x/", service=service),
+            agreed.Route(prefix="a.example/o/", service=_SERVICE),
+        ),
+    )
+
+
+def _release(service):
+    note = _notes.ReleaseNote(
+        name=service,
+        add=_notes.Items(services=(_notes.ServiceItem(name=service),)),
+        shares=(
+            _notes.ShareItem(
+                service=service, percent_by_version={"v1": 100.0}
+            ),
+        ),
+    )
+    return records.ReleaseRecord(
+        record_id=f"release/{service}",
+        note=note,
+        digest=service,
+        published_s=0.0,
+        seen={},
+    )
+
+
+def _all(context, condition):
+    return lambda: all(
+        condition(core.tables) for core in context.fleet.cores_by_name.values()
+    )
+
+
+@behave.when("the source's version {version:d} reaches one root")
+def publish_at_root(context, version):
+    """The other roots are told by the tree."""
+    root = context.fleet.roots()[0]
+    context.fleet.put(root, _published(version))
+
+
+@behave.then("within {limit:d} seconds all nodes route by version {version:d}")
+def all_route(context, limit, version):
+    """By what a request would get."""
+
+    def routes(tables):
+        view = _effects.View(snapshot=tables.snapshot)
+        route = routing.match(view, "/x/1", "a.example")
+        return route is not None and route.service == f"service-{version}"
+
+    fleet.wait(context.fleet, _all(context, routes), float(limit))
+
+
+@behave.when(
+    "the source's versions 5 and 6 reach different roots around a release"
+)
+def cross(context):
+    """Each goes its own way at the same time."""
+    roots = context.fleet.roots()
+    context.fleet.put(roots[0], _published(5))
+    context.fleet.append(_release("crossing"))
+    context.fleet.put(roots[-1], _published(6))
+
+
+@behave.then(
+    "within {limit:d} seconds all have version 6 and the release's shares"
+)
+def merged(context, limit):
+    """Both parts are the newest everywhere."""
+
+    def has_both(tables):
+        return tables.snapshot.source_version == 6 and (
+            "crossing" in tables.snapshot.shares_by_service
+        )
+
+    fleet.wait(context.fleet, _all(context, has_both), float(limit))
+
+
+@behave.when("the source's version 6 and then version 5 reach a node")
+def older_later(context):
+    """A stale read must change nothing."""
+    root = context.fleet.roots()[0]
+    context.fleet.put(root, _published(6))
+    context.fleet.put(root, _published(5))
+
+
+@behave.given("targets of version v1 and v2 of a service")
+def two_versions(context):
+    """Beside the first two nodes."""
+    root = context.fleet.roots()[0]
+    context.fleet.put(root, _published(3))
+    names = sorted(context.fleet.cores_by_name)
+    for name, version in zip(names[:2], ("v1", "v2"), strict=True):
+        context.fleet.put(
+            name,
+            _effects.Announced(
+                service=_SERVICE,
+                version=version,
+                address="127.0.0.1:1",
+                slots=8,
+            ),
+        )
+    context.fleet.run(3.0)
+
+
+def _order(context, outcome):
+    for root in context.fleet.roots():
+        context.fleet.put(
+            root,
+            _effects.Ordered(
+                order_id="order-7",
+                service=_SERVICE,
+                version="v2",
+                duration_s=16.0,
+                outcome=outcome,
+            ),
+        )
+    context.fleet.run(4.0)
+
+
+@behave.when("all roots read the order to move it to v2")
+def order(context):
+    """At the same time."""
+    _order(context, agreed.RolloutState.RUNNING)
+
+
+@behave.when("all roots read the order to move it to v2, rolled back before")
+def order_again(context):
+    """The verdict stands beside the order."""
+    _order(context, agreed.RolloutState.ROLLED_BACK)
+
+
+@behave.then("one rollout to v2 runs, from v1, and running is reported")
+def one_rollout(context):
+    """However many copies of the order were appended."""
+    for core in context.fleet.cores_by_name.values():
+        found = [
+            rollout
+            for rollout in core.tables.snapshot.rollouts_by_id.values()
+            if rollout.service == _SERVICE
+        ]
+        assert len(found) == 1, found
+        assert dict(found[0].start) == {"v1": 100.0}
+        assert dict(found[0].goal) == {"v2": 100.0}
+    reports = {
+        (report.service, report.version, report.state)
+        for report in context.fleet.reports
+    }
+    assert reports == {(_SERVICE, "v2", agreed.RolloutState.RUNNING)}
+
+
+@behave.then("v2 gets no traffic")
+def no_traffic(context):
+    """At any node."""
+    rng = random.Random(1)
+    for name, view in context.fleet.views_by_name.items():
+        version = routing.choose_version(view, _SERVICE, rng)
+        assert version == "v1", (name, version)
+
+
+@behave.given("announcements of a target")
+def no_announcements(context):
+    """None yet."""
+    context.announcements = announcements.Announcements(silent_s=6.0)
+
+
+@behave.then("each is judged by its start and sequence")
+def judged(context):
+    """In the order in which they arrive."""
+    verdict = announcements.Verdict
+
+    def judge(instance, born_ms, sequence, draining=False):
+        return context.announcements.judge(
+            announcements.Announcement(
+                instance=instance,
+                service="kvoty",
+                version="v1",
+                address="127.0.0.1:1",
+                slots=8,
+                sequence=sequence,
+                draining=draining,
+                born_ms=born_ms,
+            ),
+            10.0,
+        )
+
+    assert judge("i-1", 100, 4) is verdict.SERVING
+    assert judge("i-1", 100, 4) is verdict.SERVING
+    assert judge("i-1", 100, 3) is verdict.OUTDATED
+    assert judge("i-2", 200, 1) is verdict.SERVING
+    assert judge("i-1", 100, 9) is verdict.OUTDATED
+    assert judge("i-2", 200, 2, draining=True) is verdict.LEAVING
+    assert judge("i-2", 200, 3) is verdict.OUTDATED
+    assert judge("i-2", 300, 1) is verdict.SERVING
+    context.announcements.leave("i-2")
+    assert judge("i-2", 300, 2) is verdict.OUTDATED
+    assert judge("i-3", 400, 1) is verdict.SERVING
+    assert not context.announcements.fell_silent(15.0)
+    assert context.announcements.fell_silent(16.0)
+    assert not context.announcements.fell_silent(17.0)
--- a/src/arbutusstall/_proxy/dialects.py
+++ b/src/arbutusstall/_proxy/dialects.py
@@ -53,8 +53,8 @@
         deadline_ms: How long the caller waits; None if it does not say.
         key: Idempotency key, empty if there is none.
         depth: Number of calls above this one in the chain.
-        nested: Whether the target beside this node sent it while it
-            runs another request.
+        parent_id: Id that this request's id extends, empty if none: the
+            request is part of that one if the target here runs it.
     """
 
     request_id: str
@@ -67,7 +67,7 @@
     deadline_ms: int | None = None
     key: str = ""
     depth: int = 0
-    nested: bool = False
+    parent_id: str = ""
 
 
 class Dialect(Protocol):
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -87,6 +87,7 @@
         )
         self._suspects = quarantine.Suspects()
         self._running_by_id: dict[str, _Running] = {}
+        self._ids_at_target: set[str] = set()
         self._target: _effects.Announced | None = None
         self._pool: http_client.Pool | None = None
         self._stopping = False
@@ -102,6 +103,10 @@
         """Requests that were admitted and have not ended."""
         return len(self._running_by_id)
 
+    def runs(self, request_id: str) -> bool:
+        """Tell whether the target is working on a request."""
+        return request_id in self._ids_at_target
+
     @property
     def target(self) -> _effects.Announced | None:
         """The target that takes calls now."""
@@ -293,6 +298,7 @@
             self._finish(running, admission.refusal(call, reason))
             return
         running.connection = result.connection
+        self._ids_at_target.add(call.request_id)
         request = self._dialect.target_request(call, running.target, left_ms)
         running.timer = self._loop.call_later(
             (left_ms + _LATE_ANSWER_MS) / 1000, self._too_late, running
@@ -357,6 +363,7 @@
         if running.timer is not None:
             running.timer.cancel()
             running.timer = None
+        self._ids_at_target.discard(call.request_id)
         now_ms = self.now_ms()
         table = self.admission.table
         if answer.not_run:
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -87,6 +87,7 @@
             settings,
             surroundings.dialect,
             peers.Peers(settings.node, self.inbound),
+            self.inbound.runs,
             self.log,
             f"{settings.node}-{incarnation:x}",
         )
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -1,6 +1,7 @@
 """The outbound proxy: takes callers' requests and routes them."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import itertools
 import logging
@@ -65,6 +66,7 @@
     call: messages.CallRequest
     started_s: float
     end_s: float
+    nested: bool
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     refusals: int = 0
@@ -77,19 +79,27 @@
 
 
 class Outbound:
-    """Answers callers, by targets beside any node."""
+    """Answers callers, by targets beside any node.
+
+    Args:
+        runs: Tells whether the target beside this node is working on the
+            request with an id.
+        prefix: Begins the ids of the calls.
+    """
 
     def __init__(
         self,
         settings: _settings.NodeSettings,
         dialect: dialects.Dialect,
         peers: peer_links.Peers,
+        runs: abc.Callable[[str], bool],
         log: events.EventLog,
         prefix: str,
     ) -> None:
         self._settings = settings
         self._dialect = dialect
         self._peers = peers
+        self._runs = runs
         self._log = log
         self._prefix = prefix
         self._loop = asyncio.get_running_loop()
@@ -167,12 +177,14 @@
         if incoming.deadline_ms is not None:
             timeout_ms = min(timeout_ms, incoming.deadline_ms)
         service = routing.choose_service(route, self._rng)
+        nested = bool(incoming.parent_id) and self._runs(incoming.parent_id)
         self._budget(service).deposit()
         running = _Running(
             exchange=exchange,
             incoming=incoming,
             route=route,
-            call=_call(incoming, route, service, timeout_ms),
+            call=_call(incoming, route, service, timeout_ms, nested),
+            nested=nested,
             started_s=now_s,
             end_s=now_s + timeout_ms / 1000,
         )
@@ -311,6 +323,9 @@
         return self._budget(running.call.service).withdraw()
 
     def _pass_on(self, running: _Running, answer: messages.CallAnswer) -> None:
+        target_ms = running.route.target_latency_ms
+        if target_ms and self._held_ms(running) > target_ms:
+            self._log_late(running, answer)
         response = self._dialect.answer(running.call, answer)
         self._end(running, attempts.Step.ANSWER, response)
 
@@ -467,13 +482,36 @@
             self._budgets_by_service[service] = budget
         return budget
 
+    def _log_late(
+        self, running: _Running, answer: messages.CallAnswer
+    ) -> None:
+        call = running.call
+        self._log.emit(
+            "call-late",
+            {
+                "request": call.request_id,
+                "call": call.call_id,
+                "route": call.route,
+                "service": call.service,
+                "node": running.member.node if running.member else "-",
+                "rank": call.rank,
+                "sends": running.sends,
+                "refusals": running.refusals,
+                "held_ms": self._held_ms(running),
+                "taken_ms": answer.taken_ms,
+                "load": answer.in_flight,
+                "slots": answer.slots,
+                "status": answer.status,
+            },
+        )
+
     def _aim_ms(self, running: _Running) -> int:
         """Return the time left to the objective; nested calls have none.
 
         A nested call that is refused wastes the work above it.
         """
         target_ms = running.route.target_latency_ms
-        if running.incoming.nested or not target_ms:
+        if running.nested or not target_ms:
             return 0
         return max(1, target_ms - self._held_ms(running))
 
@@ -496,6 +534,7 @@
     route: agreed.Route,
     service: str,
     deadline_ms: int,
+    nested: bool,
 ) -> messages.CallRequest:
     safe = incoming.method in _SAFE_METHODS and not route.strict
     return messages.CallRequest(
@@ -514,5 +553,5 @@
         idempotent=route.idempotent or safe,
         key=incoming.key,
         depth=incoming.depth,
-        rank=_NESTED_RANK if incoming.nested else route.priority,
+        rank=_NESTED_RANK if nested else route.priority,
     )
--- a/src/arbutusstall/platform/dialect.py
+++ b/src/arbutusstall/platform/dialect.py
@@ -15,6 +15,8 @@
 _NOT_EXECUTED = "x-not-executed"
 _CONTENT_ENCODING = "content-encoding"
 _RETRY_AFTER = "Retry-After"
+# Targets name their own calls PARENT.CHILD.
+_CHILD_MARK = "."
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -57,12 +59,10 @@
 
     Args:
         service: Service of the target beside this node.
-        ip: Address of the machine; requests from it are the target's.
     """
 
-    def __init__(self, service: str, ip: str) -> None:
+    def __init__(self, service: str) -> None:
         self._service = service
-        self._ip = ip
 
     def read_request(
         self, request: http_messages.Request
@@ -85,7 +85,7 @@
             headers=(*_end_to_end(pairs), (_CALLER_SERVICE, self._service)),
             body=request.body,
             deadline_ms=_deadline(http_messages.get(pairs, _DEADLINE.lower())),
-            nested=request.peer == self._ip,
+            parent_id=request_id.rpartition(_CHILD_MARK)[0],
         )
 
     def target_request(
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -43,7 +43,7 @@
     node = nodes.Node(
         settings.node,
         nodes.Surroundings(
-            dialect=dialect.PlatformDialect(settings.service, settings.ip),
+            dialect=dialect.PlatformDialect(settings.service),
             log=log.StoreLog(store),
             source=operator.OperatorSource(store),
             roster=roster.StoreRoster(store),
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -62,7 +62,6 @@
 
     Attributes:
         service: Service of the target beside the node.
-        ip: Address of the machine.
         ready: Where the platform asks whether the node is ready.
         control: Where the target sends its heartbeats.
         target_silent_s: Time without a heartbeat after which the target
@@ -74,7 +73,6 @@
 
     node: _settings.NodeSettings
     service: str
-    ip: str
     ready: str
     control: str
     target_silent_s: float
@@ -112,7 +110,6 @@
     return PlatformSettings(
         node=_node(found, bounds),
         service=found.service,
-        ip=found.ip,
         ready=found.listen.ready,
         control=found.listen.control,
         target_silent_s=durations.seconds(found.heartbeat)
--- a/src/arbutusstall/protocols.py
+++ b/src/arbutusstall/protocols.py
@@ -27,9 +27,14 @@
 from arbutusstall._effects import LogFailed
 from arbutusstall._effects import LogRead
 from arbutusstall._effects import Observed
+from arbutusstall._effects import Ordered
+from arbutusstall._effects import Published
 from arbutusstall._effects import PutInForce
 from arbutusstall._effects import Received
+from arbutusstall._effects import ReportRollout
+from arbutusstall._effects import RosterRead
 from arbutusstall._effects import Send
+from arbutusstall._effects import SourceChanged
 from arbutusstall._effects import StopLog
 from arbutusstall._effects import View
 from arbutusstall._log.client import LogClient
@@ -55,9 +60,14 @@
     "ManualClock",
     "NodeCore",
     "Observed",
+    "Ordered",
+    "Published",
     "PutInForce",
     "Received",
+    "ReportRollout",
+    "RosterRead",
     "Send",
+    "SourceChanged",
     "StopLog",
     "SystemClock",
     "View",
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -42,6 +42,7 @@
         self.traffic_by_name: dict[str, Traffic] = {}
         self.views_by_name: dict[str, protocols.View] = {}
         self.emitted: list[tuple[float, str, protocols.Emit]] = []
+        self.reports: list[protocols.ReportRollout] = []
         self.entries: list[bytes] = []
         self.first_kept = 0
         self.appends = 0
@@ -173,6 +174,8 @@
                     self._send(name, effect.peer, effect.message)
                 case protocols.PutInForce():
                     self.views_by_name[name] = effect.view
+                case protocols.ReportRollout():
+                    self.reports.append(effect)
                 case protocols.Emit():
                     self.emitted.append(
                         (self.clock.now().mono_s, name, effect)
