Serve metrics on the platform and use less memory

No metrics were served. The retry allowance of all nodes together was above the platform's at low rates (12 nodes with 10 saved retries for each service).

Change: routes that did not change are shared between versions, calls that may run again are dropped from the table, a node saves two retries a service, and the admin interface is served on the loop.

Ruled out: leaving ssl out; prometheus_client cannot do without it.

--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -369,7 +369,9 @@
         self._ids_at_target.discard(call.request_id)
         now_ms = self.now_ms()
         table = self.admission.table
-        if answer.not_run:
+        if call.idempotent:
+            table.drop(call.call_id)
+        elif answer.not_run:
             table.withdraw(call.call_id, now_ms)
         else:
             table.finish(call.call_id, answer, now_ms)
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -18,6 +18,7 @@
 from arbutusstall._log import client
 from arbutusstall._log import roster
 from arbutusstall._log import source as sources
+from arbutusstall._proxy import admin
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import frames
@@ -105,6 +106,9 @@
         self._callers = http_server.HttpServer(
             settings.addresses.callers, self.outbound
         )
+        self._admin = http_server.HttpServer(
+            settings.addresses.admin, admin.Admin(self.core)
+        )
         self._announcements = announcements.Announcements(
             surroundings.target_silent_s
         )
@@ -133,6 +137,7 @@
         )
         await self._acceptor.start()
         await self._callers.start()
+        await self._admin.start()
         self.inbound.start()
         self._control.start()
         self._check_target()
@@ -164,6 +169,7 @@
         while self._is_busy() and self._loop.time() < end_s:
             await asyncio.sleep(_STOP_POLL_S)
         self._callers.close()
+        self._admin.close()
         self._acceptor.close()
         self.inbound.stop()
         self.outbound.close()
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -478,7 +478,8 @@
     def _budget(self, service: str) -> attempts.RetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = attempts.RetryBudget(self._settings.calls.retry_share)
+            calls = self._settings.calls
+            budget = attempts.RetryBudget(calls.retry_share, calls.retry_burst)
             self._budgets_by_service[service] = budget
         return budget
 
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -196,6 +196,7 @@
             refused.
         attempts: Most endpoints that one request is sent to.
         retry_share: Retries allowed for each request.
+        retry_burst: Retries that a node can save up for a service.
         key_horizon_ms: For how long an Idempotency-Key is honoured.
     """
 
@@ -212,6 +213,7 @@
     max_depth: int = 12
     attempts: int = 3
     retry_share: float = 0.2
+    retry_burst: float = 10.0
     key_horizon_ms: int = 60_000
 
 
--- a/src/arbutusstall/_systems/attempts.py
+++ b/src/arbutusstall/_systems/attempts.py
@@ -6,7 +6,7 @@
 from arbutusstall._systems import admission
 from arbutusstall._wire import messages
 
-_BURST = 10.0
+_BURST_TOKENS = 10.0
 
 
 class AttemptState(enum.Enum):
@@ -51,15 +51,21 @@
 
 
 class RetryBudget:
-    """Allows retries as a share of the requests; not thread-safe."""
+    """Allows retries as a share of the requests; not thread-safe.
 
-    def __init__(self, share: float) -> None:
+    Args:
+        share: Retries for each request.
+        burst: Retries that can be saved up at most.
+    """
+
+    def __init__(self, share: float, burst: float = _BURST_TOKENS) -> None:
         self._share = share
-        self._tokens = _BURST
+        self._burst = burst
+        self._tokens = burst
 
     def deposit(self) -> None:
         """Note a request."""
-        self._tokens = min(_BURST, self._tokens + self._share)
+        self._tokens = min(self._burst, self._tokens + self._share)
 
     def withdraw(self) -> bool:
         """Take one retry out of the budget, if there is one."""
--- a/src/arbutusstall/_systems/publication.py
+++ b/src/arbutusstall/_systems/publication.py
@@ -6,6 +6,7 @@
 follow one after the other if the fold does not show it by then.
 """
 
+from collections import abc
 import dataclasses
 
 from arbutusstall import _clock
@@ -42,7 +43,7 @@
         version=versions.combined(event.source_version, log_part),
         source_version=event.source_version,
         services_by_name={item.name: item for item in event.services},
-        routes_by_prefix={item.prefix: item for item in event.routes},
+        routes_by_prefix=_routes(old, event.routes),
         limits=event.limits,
     )
     effects: list[_effects.Effect] = [
@@ -108,6 +109,22 @@
     return effects
 
 
+def _routes(
+    old: agreed.Snapshot, routes: abc.Iterable[agreed.Route]
+) -> abc.Mapping[str, agreed.Route]:
+    """Index the routes; those that did not change are shared.
+
+    Many versions are kept to tell the differences from, and most routes
+    are the same in all of them.
+    """
+    known = old.routes_by_prefix
+    found = {}
+    for route in routes:
+        before = known.get(route.prefix)
+        found[route.prefix] = before if before == route else route
+    return found
+
+
 def _append_orders(
     tables: node.Tables, now: _clock.Instant
 ) -> list[_effects.Effect]:
--- a/src/arbutusstall/_systems/revocation.py
+++ b/src/arbutusstall/_systems/revocation.py
@@ -110,6 +110,10 @@
         if entry is not None:
             self._add_tombstone(call_id, entry.sent_ms, now_ms)
 
+    def drop(self, call_id: str) -> None:
+        """Forget a call that may run again; it is never revoked."""
+        self._active_by_id.pop(call_id, None)
+
     def turn_away(self, ticket: Ticket, now_ms: int) -> None:
         """Make sure that a call that is refused now never starts."""
         if not self._refusal(ticket, now_ms):
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -20,6 +20,9 @@
 _READY_QUESTIONS_S = 2.2
 _GRACE_MARGIN_S = 0.6
 _RETRY_BUDGET_PART = 0.5
+# All nodes share one allowance beside the ratio.
+_RETRY_BURST = 2.0
+_METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -52,6 +55,7 @@
     listen: _Listen
     platform: _Store
     limits: _Limits = _Limits()
+    metrics_port: int = _METRICS_PORT
     # Texts of the form ``name=value``.
     bounds: tuple[str, ...] = ()
 
@@ -132,7 +136,7 @@
             callers=found.listen.outbound,
             inbound=between_nodes,
             relay=between_nodes,
-            admin=f"{found.ip}:{first + 1}",
+            admin=f"{found.ip}:{found.metrics_port}",
         ),
         log=_settings.LogSettings(
             url=f"http://{found.platform.address}",
@@ -162,9 +166,10 @@
             connections=max(64, found.limits.max_fds - _RESERVED_DESCRIPTORS),
             queue=256,
             queue_ms=1_500,
-            horizon_ms=30_000,
-            remembered=5_000,
-            remembered_bytes=4_000_000,
+            horizon_ms=10_000,
+            remembered=2_000,
+            remembered_bytes=1_500_000,
+            retry_burst=_RETRY_BURST,
             retry_share=retry_ratio * _RETRY_BUDGET_PART,
         ),
     )
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -24,6 +24,7 @@
 region = "main"
 internalPorts = [{internal},{internal}]
 heartbeat = "300ms"
+metricsPort = {metrics}
 service = "{service}"
 bounds = ["grace=4s","retryBudgetRatio=0.2"]
 [listen]
@@ -164,7 +165,8 @@
     def add(self, name: str, service: str, zone: str = "lipno") -> NodeProcess:
         """Start a node and the target beside it."""
         addresses = {
-            part: ports.take() for part in ("outbound", "ready", "control")
+            part: ports.take()
+            for part in ("outbound", "ready", "control", "metrics")
         }
         settings = self._directory / f"{name}.toml"
         settings.write_text(
