End watch on signals whatever was inherited

Cause: a job that a script starts in the background inherits that SIGINT is ignored, and SIGTERM ended the program with an error.

Change: watch sets its own handlers while it runs.

--- a/features/note.feature
+++ b/features/note.feature
@@ -88,6 +88,17 @@
     When a process watches the log and a release is published
     Then the process prints "release-accepted base" and ends with 0 when interrupted
 
+  Scenario Outline: watch ends on a signal that its parent ignores
+    Given the platform log
+    And the release file base.note.json that adds kvoty
+    When a process watches the log, started with <signal> ignored
+    Then the process prints "release-accepted base" and ends with 0 on <signal>
+
+    Examples:
+      | signal  |
+      | SIGINT  |
+      | SIGTERM |
+
   Scenario Outline: a command line that cannot be used
     Given the platform log
     And the release file base.note.json that adds kvoty
--- a/features/steps/note_steps.py
+++ b/features/steps/note_steps.py
@@ -207,6 +207,27 @@
     run(context, "publish FILE")
 
 
+@behave.when("a process watches the log, started with {name} ignored")
+def watch_process_ignoring(context, name):
+    """Start it as a shell starts a job in the background."""
+    number = signal.Signals[name]
+    before = signal.signal(number, signal.SIG_IGN)
+    try:
+        watch_process(context)
+    finally:
+        signal.signal(number, before)
+
+
+@behave.then('the process prints "{text}" and ends with 0 on {name}')
+def watch_ends_on(context, text, name):
+    """Send the signal after the event."""
+    output = context.directory / "watch.log"
+    assert context.mesh.wait_until(lambda: text in output.read_text(), 20.0)
+    context.mesh.signal("watch", signal.Signals[name])
+    process = context.mesh.processes_by_name["watch"]
+    assert process.wait(timeout=20.0) == 0, output.read_text()
+
+
 @behave.then('the process prints "{text}" and ends with 0 when interrupted')
 def watch_ends(context, text):
     """Interrupt it after the event."""
--- a/src/arbutusstall/_cli/note.py
+++ b/src/arbutusstall/_cli/note.py
@@ -1,9 +1,12 @@
 """The program arbutusstall-note."""
 
+from collections import abc
+import contextlib
 import dataclasses
 import datetime
 import math
 import pathlib
+import signal
 import sys
 import time
 from typing import Any
@@ -286,8 +289,9 @@
             self.log(), from_start=self.option("from-start")
         )
         try:
-            while time.monotonic() < end_s:
-                self._poll(watcher, end_s)
+            with _interruptible():
+                while time.monotonic() < end_s:
+                    self._poll(watcher, end_s)
         except KeyboardInterrupt:
             return program.EXIT_OK
         return program.EXIT_OK
@@ -304,6 +308,24 @@
             self.show(event.line(), dataclasses.asdict(event))
 
 
+@contextlib.contextmanager
+def _interruptible() -> abc.Iterator[None]:
+    """Raise KeyboardInterrupt on SIGINT and SIGTERM.
+
+    A program that a script starts in the background inherits that SIGINT
+    is ignored; it must end all the same.
+    """
+    numbers = (signal.SIGINT, signal.SIGTERM)
+    before = [
+        signal.signal(number, signal.default_int_handler) for number in numbers
+    ]
+    try:
+        yield
+    finally:
+        for number, handler in zip(numbers, before, strict=True):
+            signal.signal(number, handler)
+
+
 def _check_times(note: _notes.ReleaseNote, name: str) -> None:
     _notes.check_times(note, name, datetime.datetime.now(datetime.UTC))
 
