Give the stand-in targets the platform's heartbeat

The logs of a failure on a loaded machine show it: the targets of that scenario send no heartbeats, the node takes a target for dead after four times 300 ms, and the other node needed 0.9 s to start.

Ruled out: the roster that comes late (both nodes had restored their targets before they told others).

Change: heartbeats every 2 s in the settings of these scenarios, as on the platform (1.5 s); no check is changed.

--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -24,7 +24,7 @@
 zone = "{zone}"
 region = "main"
 internalPorts = [{internal},{internal}]
-heartbeat = "300ms"
+heartbeat = "2s"
 metricsPort = {metrics}
 service = "{service}"
 bounds = ["grace=4s","retryBudgetRatio=0.2"]
