Give connections back to the pool they came from

Cause: found in the read-through. A connection to a target that was replaced while it ran a request was given to the new target's pool, so the next request went to the old target (there the instance's name turns it away, but its own interface has no such name).

Ruled out: closing connections at the replacement; they carry requests.

Change: a connection is released by itself, into its own pool, which is closed after a replacement.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -93,3 +93,8 @@
     When two requests are sent over one connection to it
     Then each gets its own answer
     And two connections were opened
+
+  Scenario: a connection to an earlier target is not used for the next one
+    Given a target that is replaced while it runs a request
+    When its answer has come and another request is sent
+    Then the other request reaches the new target
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -1,6 +1,7 @@
 """Steps for the adapter and the HTTP on the event loop."""
 
 import asyncio
+import dataclasses
 import logging
 import os
 import socket
@@ -8,6 +9,7 @@
 import time
 
 import behave
+import fleet
 import platform_mesh
 import ports
 from standins import store as store_standin
@@ -19,8 +21,10 @@
 from arbutusstall._proxy import http_client
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
+from arbutusstall._proxy import inbound
 from arbutusstall._proxy import log_output
 from arbutusstall._proxy import source_worker
+from arbutusstall._shell import events
 from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 from arbutusstall.platform import operator
@@ -556,3 +560,64 @@
 def two_opened(context):
     """The first one is not used again."""
     assert context.opened == 2, context.opened
+
+
+def _signed(name, body):
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
+        + name
+        + b"\r\nContent-Length: 1\r\n\r\n"
+        + body
+    )
+
+
+@behave.given("a target that is replaced while it runs a request")
+def two_targets(context):
+    """Each answers with a letter of its own."""
+    context.addresses = []
+    for letter in (b"a", b"b"):
+        _serve_raw(context, [_signed(b"r1", letter), _signed(b"r2", letter)])
+        context.addresses.append(context.raw_address)
+
+
+@behave.when("its answer has come and another request is sent")
+def replaced(context):
+    """The replacement is announced between request and answer."""
+
+    async def run():
+        settings = fleet.settings(0, "lipno")
+        proxy = inbound.Inbound(
+            settings,
+            dialect.PlatformDialect("vazeni"),
+            1,
+            lambda event: None,
+            events.EventLog(settings),
+        )
+        answers = []
+        for number, address in enumerate(context.addresses):
+            proxy.announced(
+                dataclasses.replace(
+                    _TARGET, address=address, instance=f"i-{number}"
+                )
+            )
+            name = f"r{number + 1}"
+            done = asyncio.get_running_loop().create_future()
+            call = dataclasses.replace(_CALL, call_id=name, request_id=name)
+            proxy.submit(call, done.set_result)
+            if number == 0:
+                proxy.announced(
+                    dataclasses.replace(
+                        _TARGET, address=context.addresses[1], instance="i-1"
+                    )
+                )
+            answers.append(await asyncio.wait_for(done, 5.0))
+            await asyncio.sleep(0.05)
+        return answers
+
+    context.answers = asyncio.run(run())
+
+
+@behave.then("the other request reaches the new target")
+def new_target(context):
+    """By the letter that it answers with."""
+    assert context.answers[-1].body == b"b", context.answers
--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -104,6 +104,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def release(self) -> None:
+        """Give the connection back to its pool after its request."""
+        self._pool.release(self)
+
     @property
     def is_open(self) -> bool:
         """Whether the connection can carry another request."""
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -293,7 +293,7 @@
         left_ms = self._left_ms(running)
         abandoned = running.cancelled
         if left_ms <= 0 or abandoned:
-            self._pool_of(result).release(result.connection)
+            result.connection.release()
             reason = CANCELLED if abandoned else admission.LATE
             self._finish(running, admission.refusal(call, reason))
             return
@@ -319,8 +319,8 @@
         if running.timer is not None:
             running.timer.cancel()
             running.timer = None
-        if connection is not None and self._pool is not None:
-            self._pool.release(connection)
+        if connection is not None:
+            connection.release()
         call = running.call
         if call.call_id not in self._running_by_id:
             return
@@ -510,10 +510,6 @@
         limit = self._settings.calls.connections
         self._pool = http_client.Pool(address, limit)
 
-    def _pool_of(self, lease: http_client.Lease) -> http_client.Pool:
-        assert self._pool is not None
-        return self._pool
-
     def _log_end(
         self,
         running: _Running,
