Count the objective from the caller's first try

Change: the time that a caller has waited is estimated from the time that it has left against the longest that callers of the route have had; it counts in the objective that admission gets.

--- a/features/calls_pressure.feature
+++ b/features/calls_pressure.feature
@@ -18,6 +18,28 @@
     Then each that starts has waited at most 200 ms
     And the slots are always in use
 
+  Scenario: callers that come back after a refusal do not make answers late
+    Given a target with 8 slots that takes 90 ms
+    When twice as many callers as it can serve come, and again 150 ms later
+    Then the slots are always in use
+    And no answer is later than 300 ms after its caller's first request
+
+  Scenario Outline: how long a caller has waited follows from its time left
+    Given callers of a route that start with 1200 ms
+    When one comes with <left> ms left
+    Then it is taken to have waited for <waited> ms
+
+    Examples:
+      | left | waited |
+      | 1200 | 0      |
+      | 1050 | 150    |
+      | 500  | 0      |
+
+  Scenario: callers that have less time from now on count as new soon
+    Given callers of a route that start with 1200 ms
+    When callers start with 1000 ms for 25 seconds
+    Then the last of them is taken to have waited for 0 ms
+
   Scenario: short calls are not judged by the time of long ones
     Given a target with 8 slots that takes 300 ms
     When short nested calls of 20 ms with a deadline of 250 ms arrive
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -8,11 +8,14 @@
 from arbutusstall import _effects
 from arbutusstall._systems import admission
 from arbutusstall._systems import balancing
+from arbutusstall._systems import caller_waits
 from arbutusstall._systems import revocation
 from arbutusstall._tables import members
 
 _NOW_S = 1_000.0
 _DEADLINE_MS = 1_000
+_AIM_MS = 300
+_COME_BACK_MS = 150
 
 
 class _Target:
@@ -131,6 +134,89 @@
     assert not started & context.pressed.refused
 
 
+@behave.when(
+    "twice as many callers as it can serve come, and again 150 ms later"
+)
+def come_again(context):
+    """Each caller that is refused comes back once."""
+    target = context.pressed
+    target.busy_ms = 0
+    context.began_ms = target.now_ms
+    context.first_ms_by_id = {}
+    waits = caller_waits.CallerWaits()
+    back_ms_by_id = {}
+    gap_ms = target.taken_ms / target.admission.slots / 2
+    due_ms = float(target.now_ms)
+    end_ms = target.now_ms + 10_000
+
+    def ask(name, first_ms):
+        left_ms = _DEADLINE_MS - (target.now_ms - first_ms)
+        waited_ms = waits.waited_ms("/x", left_ms, target.now_ms / 1_000)
+        context.first_ms_by_id[name] = first_ms
+        target.arrive(
+            name,
+            deadline_ms=left_ms,
+            route="long",
+            aim_ms=max(1, _AIM_MS - waited_ms),
+        )
+
+    while target.now_ms < end_ms:
+        while due_ms <= target.now_ms:
+            ask(f"first-{due_ms}", target.now_ms)
+            due_ms += gap_ms
+        for name in target.refused - back_ms_by_id.keys():
+            if name.startswith("first"):
+                back_ms_by_id[name] = target.now_ms + _COME_BACK_MS
+        for name, back_ms in back_ms_by_id.items():
+            if back_ms == target.now_ms:
+                ask(f"again-{name}", context.first_ms_by_id[name])
+        target.advance(1)
+
+
+@behave.then(
+    "no answer is later than {limit:d} ms after its caller's first request"
+)
+def in_time(context, limit):
+    """Those that came back included."""
+    target = context.pressed
+    started = target.waited_ms_by_id.keys() & context.first_ms_by_id.keys()
+    assert started
+    for name in started:
+        start_ms = target.arrived_ms_by_id[name] + target.waited_ms_by_id[name]
+        taken_ms = start_ms + target.taken_ms - context.first_ms_by_id[name]
+        assert taken_ms <= limit, (name, taken_ms)
+
+
+@behave.given("callers of a route that start with {left:d} ms")
+def callers(context, left):
+    """A second's worth of them."""
+    context.caller_waits = caller_waits.CallerWaits()
+    for number in range(10):
+        context.caller_waits.waited_ms("/x", left, _NOW_S + number / 10)
+
+
+@behave.when("one comes with {left:d} ms left")
+def one_comes(context, left):
+    """A second later."""
+    context.waited_ms = context.caller_waits.waited_ms("/x", left, _NOW_S + 2)
+
+
+@behave.when("callers start with {left:d} ms for {seconds:d} seconds")
+def callers_change(context, left, seconds):
+    """One a second."""
+    for number in range(1, seconds + 1):
+        context.waited_ms = context.caller_waits.waited_ms(
+            "/x", left, _NOW_S + number
+        )
+
+
+@behave.then("it is taken to have waited for {waited:d} ms")
+@behave.then("the last of them is taken to have waited for {waited:d} ms")
+def waited_for(context, waited):
+    """As estimated from its time left."""
+    assert context.waited_ms == waited, context.waited_ms
+
+
 @behave.when(
     "requests with an objective of 300 ms arrive at twice its capacity"
 )
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -22,6 +22,7 @@
 from arbutusstall._systems import admission
 from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
+from arbutusstall._systems import caller_waits
 from arbutusstall._systems import routing
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
@@ -69,6 +70,8 @@
     started_s: float
     end_s: float
     nested: bool
+    # How long the caller has waited before this request, as estimated.
+    waited_ms: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     refusals: int = 0
@@ -108,6 +111,7 @@
         self._rng = random.Random()
         self._view = _effects.View()
         self._balancer = balancing.Balancer(settings.data_centre, self._rng)
+        self._waits = caller_waits.CallerWaits()
         self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
         self._numbers = itertools.count(1)
         self._in_flight = 0
@@ -180,6 +184,11 @@
             timeout_ms = min(timeout_ms, incoming.deadline_ms)
         service = routing.choose_service(route, self._rng)
         nested = bool(incoming.parent_id) and self._runs(incoming.parent_id)
+        waited_ms = 0
+        if incoming.deadline_ms is not None and not nested:
+            waited_ms = self._waits.waited_ms(
+                route.prefix, incoming.deadline_ms, now_s
+            )
         self._budget(service).deposit()
         running = _Running(
             exchange=exchange,
@@ -187,6 +196,7 @@
             route=route,
             call=_call(incoming, route, service, timeout_ms, nested),
             nested=nested,
+            waited_ms=waited_ms,
             started_s=now_s,
             end_s=now_s + timeout_ms / 1000,
         )
@@ -389,6 +399,7 @@
                 "sends": running.sends,
                 "refusals": running.refusals,
                 "held_ms": self._held_ms(running),
+                "waited_ms": running.waited_ms,
                 "reason": attempt.reason,
                 "outcome": kind.value,
             },
@@ -511,12 +522,14 @@
     def _aim_ms(self, running: _Running) -> int:
         """Return the time left to the objective; nested calls have none.
 
-        A nested call that is refused wastes the work above it.
+        A nested call that is refused wastes the work above it. For the
+        caller the objective began with its first attempt.
         """
         target_ms = running.route.target_latency_ms
         if running.nested or not target_ms:
             return 0
-        return max(1, target_ms - self._held_ms(running))
+        spent_ms = running.waited_ms + self._held_ms(running)
+        return max(1, target_ms - spent_ms)
 
     def _held_ms(self, running: _Running) -> int:
         return int((self._loop.time() - running.started_s) * 1000)
