Measure a peer's silence from the first question

Cause: a peer that had been idle for longer than 0.8 s was given up at the second check after a call, 100 to 200 ms later, since its silence was counted from the last byte before the call. Ruled out: the end of the stopping node's connections (2.2 s after the signal; the answer came after 1.5 s) and a reset. Change: silence is counted from the moment at which the peer owes an answer, decided without I/O in _systems/silence.py; a line peer-silent says when a peer is given up.

--- a/features/calls_links.feature
+++ b/features/calls_links.feature
@@ -16,6 +16,19 @@
       | POST   | answer  | while it runs              |
       | GET    | answer  | while it runs              |
 
+  Scenario Outline: a peer is given up only if it owes an answer too long
+    Given a peer that was heard last <quiet> ms before a call is sent to it
+    When the call waits for <waits> ms and the peer answers pings <pings>
+    Then the peer is <outcome>
+
+    Examples:
+      | quiet | waits | pings      | outcome  |
+      | 10000 | 700   | not at all | kept     |
+      | 10000 | 1100  | not at all | given up |
+      | 0     | 1100  | not at all | given up |
+      | 10000 | 9000  | in 400 ms  | kept     |
+      | 0     | 9000  | in 400 ms  | kept     |
+
   Scenario: a one-way link is reported truthfully
     Given 1 endpoint behind links that can be cut
     When all bytes from the endpoint vanish and a POST is sent
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -9,7 +9,11 @@
 import behave
 import cut_steps
 
+from arbutusstall._systems import silence
+
 _DEADLINE_S = 2.0
+_CHECK_MS = 100
+_SENT_MS = 20_000
 
 
 @behave.when("the open links go silent before and a {method} is sent")
@@ -177,3 +181,39 @@
     assert not context.stopper.is_alive()
     with contextlib.suppress(OSError):
         context.rig.endpoints[0].inbound._server.stop()
+
+
+@behave.given(
+    "a peer that was heard last {quiet:d} ms before a call is sent to it"
+)
+def quiet_peer(context, quiet):
+    """Nothing was asked of it meanwhile."""
+    context.watch = silence.SilenceWatch()
+    context.heard_ms = _SENT_MS - quiet
+    context.watch.asked(_SENT_MS / 1000)
+
+
+@behave.when(
+    "the call waits for {waits:d} ms and the peer answers pings {pings}"
+)
+def call_waits(context, waits, pings):
+    """Checked every 100 ms, as the node does."""
+    answer_ms = None if pings == "not at all" else int(pings.split()[1])
+    pong_ms = None
+    context.step = silence.Step.WAIT
+    for now_ms in range(_SENT_MS + 50, _SENT_MS + waits, _CHECK_MS):
+        if pong_ms is not None and now_ms >= pong_ms:
+            context.heard_ms, pong_ms = pong_ms, None
+        step = context.watch.check(context.heard_ms / 1000, now_ms / 1000)
+        if step is silence.Step.PING and answer_ms is not None:
+            pong_ms = now_ms + answer_ms
+        if step is silence.Step.GIVE_UP:
+            context.step = step
+            return
+
+
+@behave.then("the peer is {outcome}")
+def peer_outcome(context, outcome):
+    """Kept or given up."""
+    given_up = context.step is silence.Step.GIVE_UP
+    assert given_up == (outcome == "given up"), context.step
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import logging
 from typing import Protocol
 
 import msgspec
@@ -11,17 +12,18 @@
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
 from arbutusstall._systems import estimate
+from arbutusstall._systems import silence
 from arbutusstall._tables import members
 from arbutusstall._wire import messages
 
+LOG = logging.getLogger(__name__)
+
 Answered = abc.Callable[[messages.CallAnswer | errors.ArbutusstallError], None]
 Revoked = abc.Callable[[messages.CallRevoked | None], None]
 
 _CONNECT_S = 0.4
 _GREETING_S = 0.6
 _CHECK_S = 0.1
-_PING_AFTER_S = 0.25
-_SILENT_S = 0.8
 # After a gap between two checks nothing can be said about the peers.
 _PAUSE_S = 0.5
 
@@ -103,7 +105,7 @@
         self._pending_by_id: dict[str, _Pending] = {}
         self._revoked_by_id: dict[str, Revoked] = {}
         self._stamps_by_id: dict[str, tuple[int, int]] = {}
-        self._pinged_s = 0.0
+        self._silence = silence.SilenceWatch()
 
     @property
     def is_idle(self) -> bool:
@@ -171,19 +173,23 @@
         connection = self._connection
         if connection is None or self.is_idle:
             return
-        silent_s = now_s - connection.heard_s
-        if silent_s >= _SILENT_S and self._pinged_s > connection.heard_s:
-            connection.abort()
-        elif silent_s >= _PING_AFTER_S and self._pinged_s <= (
-            connection.heard_s
-        ):
-            self._pinged_s = now_s
+        step = self._silence.check(connection.heard_s, now_s)
+        if step is silence.Step.PING:
             connection.send(messages.CallGreeting(node=self._node))
+        elif step is silence.Step.GIVE_UP:
+            LOG.warning(
+                {
+                    "event": "peer-silent",
+                    "peer": self.address,
+                    "silent_ms": int((now_s - connection.heard_s) * 1000),
+                    "waiting": len(self._pending_by_id),
+                }
+            )
+            connection.abort()
 
     def excuse(self, now_s: float) -> None:
         """Begin anew to measure the silence."""
-        if self._connection is not None:
-            self._connection.heard_s = now_s
+        self._silence.asked(now_s)
 
     def close(self) -> None:
         """Close the connection."""
@@ -268,6 +274,8 @@
         if connection is None or bound is None:
             done(self._unavailable("the connection has ended"))
             return
+        if self.is_idle:
+            self._silence.asked(self._loop.time())
         stamped = msgspec.structs.replace(
             call,
             incarnation=bound.incarnation,
