Name the writer of a line truly; filter the time line

Change: the other node is peer=; no field takes the place of those that each line has. The scenario of the lost booking follows its id from the caller's node to the node beside the target; before, it found n1 as writer of n0's line.

--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -6,9 +6,11 @@
 
 import behave
 import platform_mesh
+import programs
 from standins import endpoint
 
 from arbutusstall import errors
+from arbutusstall._timeline import lines
 
 
 def _services(text):
@@ -214,6 +216,30 @@
     assert mesh.runs("booking") == 1
 
 
+@behave.then(
+    "its time line leads from the caller's node to the node that lost it"
+)
+def booking_story(context):
+    """Each line names its writer; the caller's node names its peer."""
+    logs = [
+        str(node.output) for node in context.platform.nodes_by_name.values()
+    ]
+    platform_mesh.wait_until(
+        lambda: context.platform.nodes_by_name["n0"].lines("call-unknown")
+    )
+    done = programs.run("timeline", "--request", "booking", *logs)
+    assert done.returncode == 0, done.stderr
+    story = [lines.parse(text) for text in done.stdout.splitlines()]
+    unknown = [line for line in story if line.event == "call-unknown"]
+    at_target, at_caller = unknown[0], unknown[-1]
+    assert at_caller.node == "n0", story
+    assert at_caller.get("peer") == at_target.node, story
+    only = programs.run("timeline", "--node", "n1", *logs).stdout
+    assert only and {lines.parse(t).node for t in only.splitlines()} == {"n1"}
+    future = str(time.time() + 60.0)
+    assert not programs.run("timeline", "--since", future, *logs).stdout
+
+
 @behave.when("the node gets SIGHUP with a changed, then with a broken file")
 def hang_up(context):
     """Wait for the line about each."""
--- a/src/arbutusstall/_cli/timeline.py
+++ b/src/arbutusstall/_cli/timeline.py
@@ -31,6 +31,17 @@
             "request", description="Only this request.", flag=False
         ),
         helpers.option("move", description="Only this move.", flag=False),
+        helpers.option(
+            "node", description="Only lines of this node.", flag=False
+        ),
+        helpers.option(
+            "event", description="Only events of this name.", flag=False
+        ),
+        helpers.option(
+            "since",
+            description="Only from this time on, seconds since the epoch.",
+            flag=False,
+        ),
         helpers.option(
             "check",
             description="Check the invariants instead of printing lines.",
@@ -49,6 +60,11 @@
         if self.option("format") not in _FORMATS:
             print("--format: neither text nor json", file=sys.stderr)
             return program.EXIT_USAGE
+        try:
+            since_s = float(self.option("since") or "-inf")
+        except ValueError:
+            print("--since: not a number of seconds", file=sys.stderr)
+            return program.EXIT_USAGE
         try:
             merged = skew.merge(self._runs())
         except errors.InvalidFile as exc:
@@ -59,7 +75,7 @@
         if self.option("check"):
             return self._check(merged)
         for line in merged.lines:
-            if self._wanted(line):
+            if line.at_s >= since_s and self._wanted(line):
                 print(report.render_line(line, self._as_json()))
         return program.EXIT_OK
 
@@ -80,11 +96,15 @@
         return bool(self.option("format") == "json")
 
     def _wanted(self, line: lines.Line) -> bool:
-        request = self.option("request")
-        move = self.option("move")
-        if request and line.get("request") != request:
-            return False
-        return not move or line.get("rollout") == move
+        wanted = {
+            "request": self.option("request"),
+            "rollout": self.option("move"),
+            "node": self.option("node"),
+            "event": self.option("event"),
+        }
+        return all(
+            line.get(name) == value for name, value in wanted.items() if value
+        )
 
 
 def main() -> None:
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -391,7 +391,7 @@
                 "route": call.route,
                 "service": call.service,
                 "version": call.version,
-                "node": running.member.node if running.member else "-",
+                "peer": running.member.node if running.member else "-",
                 "config": self._view.snapshot.source_version
                 or self._view.snapshot.version,
                 "rank": call.rank,
@@ -507,7 +507,7 @@
                 "call": call.call_id,
                 "route": call.route,
                 "service": call.service,
-                "node": running.member.node if running.member else "-",
+                "peer": running.member.node if running.member else "-",
                 "rank": call.rank,
                 "sends": running.sends,
                 "refusals": running.refusals,
--- a/src/arbutusstall/_shell/events.py
+++ b/src/arbutusstall/_shell/events.py
@@ -43,16 +43,21 @@
         fields: abc.Mapping[str, str | int | float] | None = None,
         level: int = logging.INFO,
     ) -> None:
-        """Write one line for ``event``."""
+        """Write one line for ``event``.
+
+        Args:
+            fields: Further pairs; none takes the place of a pair that
+                each line has.
+        """
         if not LOG.isEnabledFor(level):
             return
-        line = {
+        own = {
             "event": event,
             "node": self._node,
             "data_centre": self._data_centre,
             "seq": next(self._sequence),
-            **(fields or {}),
         }
+        line = {**own, **(fields or {}), **own}
         LOG.log(level, line)
 
 
