Build answers to arrivals in one place

Change: _systems/arrivals.py serves both; _proxy/call_log.py writes the lines of calls that did not go well. The threaded proxy now also refuses a call for another service than its target's.

--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -6,8 +6,6 @@
 import logging
 import time
 
-import msgspec
-
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
@@ -18,6 +16,7 @@
 from arbutusstall._shell import events
 from arbutusstall._shell import outcome_counter
 from arbutusstall._systems import admission
+from arbutusstall._systems import arrivals
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import revocation
 from arbutusstall._wire import messages
@@ -177,16 +176,10 @@
         """
         now_ms = self.now_ms()
         target = self._target
-        fingerprint = quarantine.fingerprint(
-            call.method, call.path, call.body, call.key
-        )
-        ticket = revocation.Ticket(
-            call_id=call.call_id,
-            incarnation=call.incarnation,
-            sent_ms=call.sent_ms,
-        )
+        fingerprint = arrivals.fingerprint(call)
+        ticket = arrivals.ticket(call)
         treatment = self._suspects.treatment(fingerprint, time.time())
-        refusal = _refusal_reason(call, target, treatment)
+        refusal = arrivals.refusal_reason(call, target, treatment)
         if refusal or target is None:
             decision = self.admission.refuse(ticket, refusal, now_ms)
         else:
@@ -199,7 +192,7 @@
                 aim_ms=call.aim_ms,
             )
         if target is None or decision.verdict is admission.Verdict.REFUSE:
-            self._answer(call, done, _turned_away(call, decision))
+            self._answer(call, done, arrivals.turned_away(call, decision))
             return
         running = _Running(
             call=call,
@@ -222,13 +215,8 @@
 
     def revoke(self, revoke: messages.CallRevoke, done: Revoked) -> None:
         """Make sure a call never starts, or wait for its end."""
-        ticket = revocation.Ticket(
-            call_id=revoke.call_id,
-            incarnation=revoke.incarnation,
-            sent_ms=revoke.sent_ms,
-        )
         table = self.admission.table
-        state = table.revoke(ticket, self.now_ms())
+        state = table.revoke(arrivals.ticket(revoke), self.now_ms())
         running = self._running_by_id.get(revoke.call_id)
         if state is messages.RevokeState.RUNNING and running is not None:
             running.waiting.append(done)
@@ -334,7 +322,7 @@
                 self._lose_target(admission.MISDIRECTED)
             return
         if running.cancelled:
-            self._finish(running, _unknown(call, CANCELLED))
+            self._finish(running, arrivals.unknown(call, CANCELLED))
             return
         task = self._loop.create_task(self._investigate(running, outcome))
         self._tasks.add(task)
@@ -352,13 +340,14 @@
                 self._target_crashed(running)
             await asyncio.sleep(_MARKS_SPREAD_S)
         if running.call.call_id in self._running_by_id:
-            self._finish(running, _unknown(running.call, reason))
+            self._finish(running, arrivals.unknown(running.call, reason))
 
     def _too_late(self, running: _Running) -> None:
         running.timer = None
         if running.connection is not None:
             connection, running.connection = running.connection, None
-            self._finish(running, _unknown(running.call, admission.LATE))
+            late = arrivals.unknown(running.call, admission.LATE)
+            self._finish(running, late)
             connection.close()
 
     def _finish(self, running: _Running, answer: messages.CallAnswer) -> None:
@@ -442,14 +431,7 @@
         if answer.not_run:
             call_metrics.REFUSALS.labels(call.service, answer.not_run).inc()
         done(
-            msgspec.structs.replace(
-                answer,
-                in_flight=self.admission.in_flight + self.admission.queued,
-                slots=self.admission.slots,
-                incarnation=self.incarnation,
-                clock_ms=self.now_ms(),
-                taken_ms=taken_ms,
-            )
+            arrivals.with_load(answer, self.admission, self.now_ms(), taken_ms)
         )
 
     def _left_ms(self, running: _Running) -> int:
@@ -550,34 +532,3 @@
         return False
     writer.close()
     return False
-
-
-def _turned_away(
-    call: messages.CallRequest, decision: admission.Decision
-) -> messages.CallAnswer:
-    if decision.refusal != revocation.DUPLICATE:
-        return admission.refusal(
-            call, decision.refusal, decision.retry_after_ms
-        )
-    # The same id has been admitted before, so nothing can be denied.
-    return _unknown(call, decision.refusal)
-
-
-def _unknown(call: messages.CallRequest, reason: str) -> messages.CallAnswer:
-    return messages.CallAnswer(
-        call_id=call.call_id, request_id=call.request_id, unknown=reason
-    )
-
-
-def _refusal_reason(
-    call: messages.CallRequest,
-    target: _effects.Announced | None,
-    treatment: quarantine.Treatment,
-) -> str:
-    if target is None:
-        return admission.NO_TARGET
-    if target.service != call.service or target.version != call.version:
-        return admission.WRONG_VERSION
-    if treatment is quarantine.Treatment.REFUSE:
-        return quarantine.POISON
-    return ""
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -4,7 +4,6 @@
 from collections import abc
 import dataclasses
 import itertools
-import logging
 import random
 
 import msgspec
@@ -12,6 +11,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import call_log
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
@@ -105,7 +105,7 @@
         self._dialect = dialect
         self._peers = peers
         self._runs = runs
-        self._log = log
+        self._log = call_log.CallLog(log)
         self._prefix = prefix
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random()
@@ -337,7 +337,7 @@
     def _pass_on(self, running: _Running, answer: messages.CallAnswer) -> None:
         target_ms = running.route.target_latency_ms
         if target_ms and self._held_ms(running) > target_ms:
-            self._log_late(running, answer)
+            self._log.late(self._course(running), answer)
         response = self._dialect.answer(running.call, answer)
         self._end(running, attempts.Step.ANSWER, response)
 
@@ -382,36 +382,16 @@
         kind: dialects.FailureKind,
         attempt: attempts.Attempt,
     ) -> None:
-        call = running.call
-        self._log.emit(
-            f"call-{step.value}",
-            {
-                "request": call.request_id,
-                "call": call.call_id,
-                "route": call.route,
-                "service": call.service,
-                "version": call.version,
-                "peer": running.member.node if running.member else "-",
-                "config": self._view.snapshot.source_version
-                or self._view.snapshot.version,
-                "rank": call.rank,
-                "left_ms": call.deadline_ms,
-                "sends": running.sends,
-                "refusals": running.refusals,
-                "held_ms": self._held_ms(running),
-                "waited_ms": running.waited_ms,
-                "reason": attempt.reason,
-                "outcome": kind.value,
-            },
+        failure = dialects.Failure(
+            kind=kind,
+            request_id=running.call.request_id,
+            reason=attempt.reason,
+            retry_after_ms=attempt.retry_after_ms,
         )
-        response = self._dialect.failure(
-            dialects.Failure(
-                kind=kind,
-                request_id=call.request_id,
-                reason=attempt.reason,
-                retry_after_ms=attempt.retry_after_ms,
-            )
+        self._log.failed(
+            self._course(running), step, failure, self._view.snapshot
         )
+        response = self._dialect.failure(failure)
         self._end(running, step, response)
 
     def _end(
@@ -445,24 +425,15 @@
         reason: str,
         retry_after_ms: int = 0,
     ) -> None:
-        snapshot = self._view.snapshot
-        self._log.emit(
-            "call-refused",
-            {
-                "request": request_id,
-                "target": exchange.request.target,
-                "config": snapshot.source_version or snapshot.version,
-                "reason": reason,
-                "outcome": kind.value,
-            },
-            logging.INFO,
-        )
         failure = dialects.Failure(
             kind=kind,
             request_id=request_id,
             reason=reason,
             retry_after_ms=retry_after_ms,
         )
+        self._log.refused(
+            failure, exchange.request.target, self._view.snapshot
+        )
         exchange.answer(self._dialect.failure(failure))
 
     def _learn(
@@ -496,27 +467,14 @@
             self._budgets_by_service[service] = budget
         return budget
 
-    def _log_late(
-        self, running: _Running, answer: messages.CallAnswer
-    ) -> None:
-        call = running.call
-        self._log.emit(
-            "call-late",
-            {
-                "request": call.request_id,
-                "call": call.call_id,
-                "route": call.route,
-                "service": call.service,
-                "peer": running.member.node if running.member else "-",
-                "rank": call.rank,
-                "sends": running.sends,
-                "refusals": running.refusals,
-                "held_ms": self._held_ms(running),
-                "taken_ms": answer.taken_ms,
-                "load": answer.in_flight,
-                "slots": answer.slots,
-                "status": answer.status,
-            },
+    def _course(self, running: _Running) -> call_log.Course:
+        return call_log.Course(
+            call=running.call,
+            peer=running.member.node if running.member else "",
+            sends=running.sends,
+            refusals=running.refusals,
+            held_ms=self._held_ms(running),
+            waited_ms=running.waited_ms,
         )
 
     def _aim_ms(self, running: _Running) -> int:
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -20,6 +20,7 @@
 from arbutusstall._shell import target as targets
 from arbutusstall._shell import web
 from arbutusstall._systems import admission
+from arbutusstall._systems import arrivals
 from arbutusstall._systems import keys
 from arbutusstall._systems import quarantine
 from arbutusstall._systems import revocation
@@ -156,13 +157,7 @@
         answer = self._run(call)
         if answer.not_run:
             self._refused(call, answer.not_run)
-        return msgspec.structs.replace(
-            answer,
-            in_flight=self.admission.in_flight + self.admission.queued,
-            slots=self.admission.slots,
-            incarnation=self.incarnation,
-            clock_ms=self.now_ms(),
-        )
+        return arrivals.with_load(answer, self.admission, self.now_ms())
 
     def revoke(self, revoke: messages.CallRevoke) -> messages.CallRevoked:
         """Make sure a call never starts, or tell what became of it."""
@@ -219,15 +214,13 @@
         target = self._target
         running = _Running(
             call=call,
-            fingerprint=quarantine.fingerprint(
-                call.method, call.path, call.body, call.key
-            ),
+            fingerprint=arrivals.fingerprint(call),
             started=threading.Event(),
             ended=threading.Event(),
         )
         decision = self._begin(running, target, arrived_ms)
         if target is None or decision.verdict is admission.Verdict.REFUSE:
-            return self._turned_away(call, decision)
+            return arrivals.turned_away(call, decision)
         if not self._wait(running, decision):
             return admission.refusal(
                 call, admission.OVERLOAD, decision.retry_after_ms
@@ -241,16 +234,12 @@
         now_ms: int,
     ) -> admission.Decision:
         call = running.call
-        ticket = revocation.Ticket(
-            call_id=call.call_id,
-            incarnation=call.incarnation,
-            sent_ms=call.sent_ms,
-        )
+        ticket = arrivals.ticket(call)
         with self._lock:
             treatment = self._suspects.treatment(
                 running.fingerprint, time.time()
             )
-            refusal = _refusal_reason(call, target, treatment)
+            refusal = arrivals.refusal_reason(call, target, treatment)
             if refusal:
                 return self.admission.refuse(ticket, refusal, now_ms)
             decision = self.admission.begin(
@@ -274,20 +263,6 @@
             self._promote(self.admission.promote(self.now_ms()))
         return False
 
-    def _turned_away(
-        self, call: messages.CallRequest, decision: admission.Decision
-    ) -> messages.CallAnswer:
-        if decision.refusal != revocation.DUPLICATE:
-            return admission.refusal(
-                call, decision.refusal, decision.retry_after_ms
-            )
-        # The same id has been admitted before, so nothing can be denied.
-        return messages.CallAnswer(
-            call_id=call.call_id,
-            request_id=call.request_id,
-            unknown=decision.refusal,
-        )
-
     def _execute(
         self,
         running: _Running,
@@ -361,11 +336,7 @@
     def _revoke(
         self, revoke: messages.CallRevoke
     ) -> tuple[messages.RevokeState, _Running | None]:
-        ticket = revocation.Ticket(
-            call_id=revoke.call_id,
-            incarnation=revoke.incarnation,
-            sent_ms=revoke.sent_ms,
-        )
+        ticket = arrivals.ticket(revoke)
         with self._lock:
             state = self.admission.table.revoke(ticket, self.now_ms())
             running = self._running_by_id.get(revoke.call_id)
@@ -422,17 +393,3 @@
         if reason:
             fields["reason"] = reason
         self._log.emit(event, fields, level)
-
-
-def _refusal_reason(
-    call: messages.CallRequest,
-    target: _effects.Announced | None,
-    treatment: quarantine.Treatment,
-) -> str:
-    if target is None:
-        return admission.NO_TARGET
-    if target.version != call.version:
-        return admission.WRONG_VERSION
-    if treatment is quarantine.Treatment.REFUSE:
-        return quarantine.POISON
-    return ""
--- /dev/null
+++ b/src/arbutusstall/_systems/arrivals.py
@@ -0,0 +1,81 @@
+"""What an inbound proxy makes of a message of the call path."""
+
+import msgspec
+
+from arbutusstall import _effects
+from arbutusstall._systems import admission
+from arbutusstall._systems import quarantine
+from arbutusstall._systems import revocation
+from arbutusstall._wire import messages
+
+
+def ticket(
+    message: messages.CallRequest | messages.CallRevoke,
+) -> revocation.Ticket:
+    """Return what identifies the call that a message is about."""
+    return revocation.Ticket(
+        call_id=message.call_id,
+        incarnation=message.incarnation,
+        sent_ms=message.sent_ms,
+    )
+
+
+def fingerprint(call: messages.CallRequest) -> str:
+    """Return what a call has in common with its repetitions."""
+    return quarantine.fingerprint(call.method, call.path, call.body, call.key)
+
+
+def refusal_reason(
+    call: messages.CallRequest,
+    target: _effects.Announced | None,
+    treatment: quarantine.Treatment,
+) -> str:
+    """Return why a call may not run at the target; empty if it may."""
+    if target is None:
+        return admission.NO_TARGET
+    if target.service != call.service or target.version != call.version:
+        return admission.WRONG_VERSION
+    if treatment is quarantine.Treatment.REFUSE:
+        return quarantine.POISON
+    return ""
+
+
+def turned_away(
+    call: messages.CallRequest, decision: admission.Decision
+) -> messages.CallAnswer:
+    """Return the answer to a call that admission has refused."""
+    if decision.refusal != revocation.DUPLICATE:
+        return admission.refusal(
+            call, decision.refusal, decision.retry_after_ms
+        )
+    # The same id has been admitted before, so nothing can be denied.
+    return unknown(call, decision.refusal)
+
+
+def unknown(call: messages.CallRequest, reason: str) -> messages.CallAnswer:
+    """Return the answer that a call may have been executed."""
+    return messages.CallAnswer(
+        call_id=call.call_id, request_id=call.request_id, unknown=reason
+    )
+
+
+def with_load(
+    answer: messages.CallAnswer,
+    slots: admission.Admission,
+    clock_ms: int,
+    taken_ms: int = 0,
+) -> messages.CallAnswer:
+    """Return an answer that tells the load of its endpoint.
+
+    Args:
+        clock_ms: The inbound proxy's clock.
+        taken_ms: How long the target took; 0 if it was not asked.
+    """
+    return msgspec.structs.replace(
+        answer,
+        in_flight=slots.in_flight + slots.queued,
+        slots=slots.slots,
+        incarnation=slots.table.incarnation,
+        clock_ms=clock_ms,
+        taken_ms=taken_ms,
+    )
