Add a soak of nodes on the platform

Processes are killed, paused and terminated, links to the store are silenced and refused, the store is out or loses answers, targets reset, slow down and drain, configurations change; two series of failures overlap. Callers keep their connections until the node is gone. Checked from callers and targets: own answers, at most once, true refusals, draining, planned stops, recovery. Five made-up cases show that the checks can fail. Not covered: clocks, links between nodes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 export PYTHONPATH := src:tests
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: demo test setup format bench bench-full soak mutations
+.PHONY: demo test setup format bench bench-full soak platform-soak \
+    mutations
 
 setup: $(VENV)/.installed
 
@@ -34,5 +35,8 @@
 soak: setup
 	$(PY) tests/soak.py
 
+platform-soak: setup
+	$(PY) tests/platform_soak.py --runs 50
+
 mutations: setup
 	$(PY) tests/mutations.py
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -51,3 +51,23 @@
     And the operator publishes version 3 with routes to both services
     When a node is stopped while it waits for a slow target
     Then the answer arrives whole and the node ends with code 0
+
+  Scenario Outline: random failures break no promise with seed <seed>
+    When a soak with seed <seed> runs for 8 seconds
+    Then callers and targets saw no broken promise
+
+    Examples:
+      | seed |
+      | 1    |
+
+  Scenario Outline: the soak finds a broken promise: <promise>
+    Given a soak in which a booking ran <runs> times and got <status>
+    Then it finds that <promise> was broken
+
+    Examples:
+      | runs | status | promise      |
+      | 2    | 200    | at most once |
+      | 1    | 503    | not run      |
+      | 0    | 0      | planned stop |
+      | 1    | 200    | nothing      |
+      | 0    | 503    | nothing      |
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -3,9 +3,11 @@
 from concurrent import futures
 import signal
 import time
+from unittest import mock
 
 import behave
 import platform_mesh
+import platform_soak
 import programs
 from standins import endpoint
 
@@ -215,6 +217,59 @@
     assert len(mesh.store.records(_ROSTER_TOPIC)) == before
 
 
+@behave.when("a soak with seed {seed:d} runs for {seconds:d} seconds")
+def soak(context, seed, seconds):
+    """Six nodes; failures come in series and overlap."""
+    run = platform_soak.Soak(context.directory, seed, nodes=6)
+    context.broken = run.run(seconds)
+    context.soak = run
+
+
+@behave.given(
+    "a soak in which a booking ran {runs:d} times and got {status:d}"
+)
+def made_up_soak(context, runs, status):
+    """Without nodes; what was seen is made up."""
+    run = platform_soak.Soak(context.directory, 1, nodes=0)
+    context.add_cleanup(run.mesh.stop)
+    seen = endpoint.Seen(
+        request_id="r",
+        method="POST",
+        path="/book/r",
+        caller_service="kvoty",
+        deadline_ms=1,
+        body=b"",
+    )
+    run.mesh.endpoints_by_node["n0"] = mock.Mock(seen=[seen] * runs)
+    run.sent.append(
+        platform_soak.Sent(
+            request_id="r",
+            node="n0",
+            booking=True,
+            began_s=10.0,
+            ended_s=11.0,
+            status=status,
+            own=True,
+        )
+    )
+    context.soak = run
+
+
+@behave.then("it finds that {promise} was broken")
+def found_broken(context, promise):
+    """Each finding begins with the promise."""
+    found = [line.partition(":")[0] for line in context.soak.broken()]
+    assert found == ([] if promise == "nothing" else [promise]), found
+
+
+@behave.then("callers and targets saw no broken promise")
+def nothing_broken(context):
+    """And enough happened to tell."""
+    answered = sum(item.status == 200 for item in context.soak.sent)
+    assert not context.broken, context.broken
+    assert answered > 100 and context.soak.spans, (answered, context.soak)
+
+
 @behave.when("the targets reset the connections of what they run")
 def reset(context):
     """They run each request and lose its answer."""
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -136,6 +136,16 @@
         """Ask the process to stop; return its exit code."""
         return self._end(signal.SIGTERM)
 
+    def pause(self) -> None:
+        """Suspend the process."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a suspended process go on."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGCONT)
+
     def lines(self, event: str) -> list[str]:
         """Return the lines that it wrote of an event."""
         text = self.output.read_text(errors="replace")
@@ -177,8 +187,19 @@
         """The store's content."""
         return self.server.store
 
-    def add(self, name: str, service: str, zone: str = "lipno") -> NodeProcess:
-        """Start a node and the target beside it."""
+    def add(
+        self,
+        name: str,
+        service: str,
+        zone: str = "lipno",
+        store: str = "",
+    ) -> NodeProcess:
+        """Start a node and the target beside it.
+
+        Args:
+            store: Address at which the node finds the store, if not its
+                own.
+        """
         addresses = {
             part: ports.take()
             for part in ("outbound", "ready", "control", "metrics")
@@ -190,7 +211,7 @@
                 zone=zone,
                 service=service,
                 internal=ports.take(),
-                store=self.server.address,
+                store=store or self.server.address,
                 **addresses,
             )
         )
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -37,7 +37,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Seen:
-    """One request as the endpoint ran it."""
+    """One request as the endpoint ran it.
+
+    Attributes:
+        at_s: Monotonic time at which it began.
+    """
 
     request_id: str
     method: str
@@ -45,6 +49,7 @@
     caller_service: str
     deadline_ms: int
     body: bytes
+    at_s: float = 0.0
 
 
 class Endpoint:
@@ -61,6 +66,8 @@
         slots: int = 8,
     ) -> None:
         self.instance = instance
+        self._name = instance
+        self._starts = 0
         self.behaviour = Behaviour()
         self.seen: list[Seen] = []
         self.state = "ready"
@@ -100,6 +107,14 @@
         """Send the last message; return whether it was acknowledged."""
         return self._send("DELETE", b"")
 
+    def restart(self) -> None:
+        """Announce a new start under a new name."""
+        self._starts += 1
+        self.instance = f"{self._name}-{self._starts}"
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        self.state = "ready"
+
     def beat(self, sequence: int | None = None, state: str = "") -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
         self._sequence += 1
@@ -164,6 +179,7 @@
                 caller_service=headers.get("X-Caller-Service", ""),
                 deadline_ms=int(headers.get("X-Deadline-Ms", "0")),
                 body=request.get_data(),
+                at_s=time.monotonic(),
             )
         )
         time.sleep(behaviour.delay_s)
