Keep a target away that left before it was heard

It had started while the store was down: it knew no start of the target when the DELETE came, noted the start as 0, and took the older entry of the roster (or a late heartbeat) for a new start. Change: a target that was not heard of is noted as started before the DELETE, by the clock of the machine that both share.

--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -200,7 +200,9 @@
 
     async def leave(self, instance: str) -> None:
         """Note that the target beside this node ends."""
-        await self._depart(self._announcements.leave(instance), "left")
+        wall_ms = time.time_ns() // 1_000_000
+        departure = self._announcements.leave(instance, wall_ms)
+        await self._depart(departure, "left")
 
     def _serve(self, announcement: announcements.Announcement) -> None:
         target = _effects.Announced(
--- a/src/arbutusstall/_systems/announcements.py
+++ b/src/arbutusstall/_systems/announcements.py
@@ -79,10 +79,15 @@
         self._note(Departure(instance=new.instance, born_ms=new.born_ms))
         return Verdict.LEAVING
 
-    def leave(self, instance: str) -> Departure:
-        """Note that a target ends."""
+    def leave(self, instance: str, wall_ms: int) -> Departure:
+        """Note that a target ends.
+
+        A target that was not heard of before began before ``wall_ms``,
+        milliseconds since the epoch: a late heartbeat of it, or what is
+        kept of it, must not bring it back.
+        """
         old = self._newest
-        born_ms = 0
+        born_ms = wall_ms
         if old is not None and old.instance == instance:
             born_ms = old.born_ms
             self._newest = None
