Read the source where no root can

From the code: a root that the store turns away stays attached for its children as long as it runs, and the other roots bring it the news. If all roots are among those turned away, no node reads the source, though most could. Change: roots tell each other whether they read the source themselves; one that does not, and knows none that does, says so to its children, which read the source until it is back. A change is told at once. The scenario in tree.feature failed before: no child read.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -6,7 +6,9 @@
 import fleet
 
 from arbutusstall import _clock
+from arbutusstall import _effects
 from arbutusstall import protocols
+from arbutusstall import settings
 from arbutusstall._systems import progress
 from arbutusstall._tables import links
 from arbutusstall._wire import messages
@@ -16,10 +18,12 @@
 
 
 @behave.given("a fleet of {count:d} nodes in {centres} that has settled")
-def build(context, count, centres):
+def build(context, count, centres, relay=None):
     """Start the nodes and publish a first release."""
     context.centres = centres.split(", ")
-    context.fleet = fleet.build(count, context.centres, seed=_SEED)
+    context.fleet = fleet.build(
+        count, context.centres, seed=_SEED, relay=relay
+    )
     context.next_index = count
     fleet.wait(context.fleet, lambda: _settled(context), 30.0)
     version = fleet.publish(context.fleet, services=3)
@@ -28,6 +32,13 @@
     context.begin_s = context.fleet.now_s
 
 
+@behave.given("a small fleet of {count:d} nodes in {centres} that has settled")
+def build_small(context, count, centres):
+    """Nodes without a parent read the log at once."""
+    relay = settings.RelaySettings(detached_readers=64)
+    build(context, count, centres, relay)
+
+
 @behave.when("a root dies")
 def kill_root(context):
     """Kill one root."""
@@ -491,3 +502,37 @@
     return [
         progress.mesh(made.cores_by_name[name].tables) for name in made.roots()
     ]
+
+
+@behave.when("the source turns the roots of {centres} away")
+def source_lost(context, centres):
+    """They say so to their children and to each other."""
+    _tell_roots(context, centres, available=False)
+
+
+@behave.when("the source serves the roots of {centres} again")
+def source_back(context, centres):
+    """As it does the others."""
+    _tell_roots(context, centres, available=True)
+
+
+@behave.then("after {seconds:d} seconds {who} reads the log")
+def readers(context, seconds, who):
+    """Every node, or the roots only."""
+    context.fleet.run(seconds)
+    reading = {
+        name
+        for name, core in context.fleet.cores_by_name.items()
+        if core.tables.relay.follows_log
+    }
+    roots = set(context.fleet.roots())
+    everybody = set(context.fleet.cores_by_name)
+    wanted = everybody if who == "every node" else roots
+    assert reading == wanted, (reading, wanted)
+
+
+def _tell_roots(context, centres, *, available):
+    for name in context.fleet.roots():
+        if _centre(context, name) in centres.split(", "):
+            event = _effects.SourceChanged(available=available, reason="test")
+            context.fleet.put(name, event)
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -79,6 +79,15 @@
     Then its children have other parents within 5 seconds
     And none of them was without a parent
 
+  Scenario: nodes read the source themselves when their roots cannot
+    Given a small fleet of 12 nodes in lipno, svet that has settled
+    When the source turns the roots of lipno away
+    Then after 3 seconds no node but the roots reads the log
+    When the source turns the roots of lipno, svet away
+    Then after 3 seconds every node reads the log
+    When the source serves the roots of svet again
+    Then after 6 seconds no node but the roots reads the log
+
   Scenario: regions that are cut from each other serve and heal
     Given a fleet of 80 nodes in lipno, svet that has settled
     When lipno and svet are cut from each other for 150 seconds
--- a/src/arbutusstall/_systems/publication.py
+++ b/src/arbutusstall/_systems/publication.py
@@ -96,7 +96,9 @@
 def on_source_changed(
     tables: node.Tables, event: _effects.SourceChanged, now: _clock.Instant
 ) -> list[_effects.Effect]:
-    """Say that the source is lost or back."""
+    """Note that the source is lost or back."""
+    tables.relay.source_lost = not event.available
+    tables.relay.tell_all = True
     name = "source-regained" if event.available else "source-lost"
     return [_effects.Emit(event=name, fields={"reason": event.reason or "-"})]
 
--- a/src/arbutusstall/_systems/root_claims.py
+++ b/src/arbutusstall/_systems/root_claims.py
@@ -115,6 +115,7 @@
     if tables.relay.follows_log:
         return []
     tables.relay.follows_log = True
+    tables.relay.source_lost = False
     tables.relay.log_read_s = 0.0
     tables.relay.log_failed = False
     tables.caught_up = False
@@ -231,7 +232,9 @@
         link.role is links.LinkRole.PARENT
         for link in tables.links_by_peer.values()
     )
-    if not attached or not state.follows_log or tables.is_root:
+    if not (attached and state.attached and state.follows_log):
+        return []
+    if tables.is_root:
         return []
     if state.candidate and not tables.caught_up:
         return []
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -157,11 +157,16 @@
     if link is None:
         return [_effects.Disconnect(peer=peer)]
     tables.links_by_peer[peer] = dataclasses.replace(
-        link, attached=message.attached, label=message.label
+        link,
+        attached=message.attached,
+        label=message.label,
+        reads_source=message.reads_source,
     )
     effects: list[_effects.Effect] = []
     if link.role is links.LinkRole.PARENT:
         effects += _set_attached(tables, message.attached, now)
+        if not message.attached:
+            effects += _read_alone(tables)
     if versions.has_news(message.version, tables.snapshot.version):
         effects += distribution.ask(tables, peer, now)
     if link.role is not links.LinkRole.CHILD:
@@ -209,10 +214,7 @@
         event="parent-lost",
         fields={"peer": event.peer, "reason": event.reason},
     )
-    effects = [emit, *_set_attached(tables, False, now)]
-    if admit.local_size(tables) <= tables.settings.relay.detached_readers:
-        effects += root_claims.follow(tables)
-    return effects
+    return [emit, *_set_attached(tables, False, now), *_read_alone(tables)]
 
 
 def on_left(
@@ -287,6 +289,16 @@
     return [_effects.Disconnect(peer=old)]
 
 
+def _read_alone(tables: node.Tables) -> list[_effects.Effect]:
+    """Read log and source until there is a parent that hears of news.
+
+    In a large data centre that would be more than the log can serve.
+    """
+    if admit.local_size(tables) > tables.settings.relay.detached_readers:
+        return []
+    return root_claims.follow(tables)
+
+
 def _set_attached(
     tables: node.Tables, attached: bool, now: _clock.Instant
 ) -> list[_effects.Effect]:
@@ -336,13 +348,14 @@
     tables: node.Tables, now: _clock.Instant
 ) -> list[_effects.Effect]:
     state = tables.relay
-    if now.mono_s < state.next_heartbeat_s:
+    if now.mono_s < state.next_heartbeat_s and not state.tell_all:
         return []
     state.next_heartbeat_s = now.mono_s + tables.settings.relay.heartbeat_s
     # A child depends on its parent and hears from it at each beat; the
     # other directions may be slower, which spares a root half its work.
     state.beats += 1
-    slow = state.beats % _UP_BEATS == 0
+    slow = state.tell_all or state.beats % _UP_BEATS == 0
+    state.tell_all = False
     beat = _beat(tables)
     return [
         _effects.Send(peer=link.peer, message=beat)
@@ -353,10 +366,25 @@
 
 def _beat(tables: node.Tables) -> messages.Heartbeat:
     return messages.Heartbeat(
-        attached=tables.relay.attached,
+        attached=tables.relay.attached and not _is_cut_off(tables),
         label=max(tables.relay.label, relay.ROOT_LABEL),
         version=tables.snapshot.version,
         members=rows.total(tables),
+        reads_source=tables.is_root and not tables.relay.source_lost,
+    )
+
+
+def _is_cut_off(tables: node.Tables) -> bool:
+    """Tell whether no news of the source can reach this root.
+
+    Roots tell each other only what they read themselves: two that are
+    cut off would else take each other for a way to the source.
+    """
+    if not (tables.is_root and tables.relay.source_lost):
+        return False
+    return not any(
+        link.role is links.LinkRole.ROOT and link.reads_source
+        for link in tables.links_by_peer.values()
     )
 
 
--- a/src/arbutusstall/_tables/links.py
+++ b/src/arbutusstall/_tables/links.py
@@ -28,6 +28,7 @@
         data_centre: Where the peer runs.
         attached: Whether the peer's chain of parents reaches a root.
         label: The peer's position in the tree.
+        reads_source: Whether the peer, a root, reads the external source.
     """
 
     peer: str
@@ -42,3 +43,4 @@
     data_centre: str = ""
     attached: bool = False
     label: int = 0
+    reads_source: bool = True
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -68,14 +68,18 @@
     """Shows that the link works and what the sender's place is.
 
     Attributes:
-        attached: Whether the sender's chain of parents reaches a root.
+        attached: Whether the sender's chain of parents reaches a root
+            that learns of new configurations.
         members: XOR of the hashes of the sender's live member rows.
+        reads_source: Whether the sender, a root, reads the external
+            source itself.
     """
 
     attached: bool
     label: int
     version: int
     members: int
+    reads_source: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
