--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -75,7 +75,7 @@
         self.mesh = platform_mesh.PlatformMesh(directory)
         self.sent: list[Sent] = []
         self.spans: list[Span] = []
-        self.drained_s_by_node: dict[str, float] = {}
+        self.late_ids_by_node: dict[str, list[str]] = {}
         self._version = 3
         self._routes = {
             "read": platform_mesh.route("kvoty"),
@@ -306,7 +306,7 @@
             if seen.at_s > acknowledged_s + _DRAIN_S
         ]
         if late:
-            self.drained_s_by_node[f"{name}: {late[:3]}"] = acknowledged_s
+            self.late_ids_by_node[name] = late
         target.restart()
 
     def _reconfigure(self, name: str, length_s: float) -> None:
@@ -335,7 +335,10 @@
             for seen in target.seen:
                 runs = runs_by_id.get(seen.request_id, 0)
                 runs_by_id[seen.request_id] = runs + 1
-        found = [f"drain: {name}" for name in self.drained_s_by_node]
+        found = [
+            f"drain: {len(late)} late at {name}, first {late[0]}"
+            for name, late in self.late_ids_by_node.items()
+        ]
         for sent in self.sent:
             runs = runs_by_id.get(sent.request_id, 0)
             if sent.status == _OK and not sent.own:
