Attach orphans again after their root was frozen

Cause: three faults that together keep living nodes out of the mesh. A root that stands still for seconds loses its children after 1.5 s. When it wakes, 16 of 29 orphans fill its fan-out; the others hold children of their own, may attach to a root only, and were sent from one full node to the next: each refusal named others, which went to the head of the same list, so that the round in which they would have let their children go never came. The wait after a refusal was also spent when further addresses were left to ask. And the woken root counted its own standstill as silence of all nodes below it.

Ruled out: the rate at which a parent admits (20/s; 12 of 29 were in after 0.2 s), and the labels (no loop was seen).

Change: addresses asked in a round are not put on its list again; the next one is asked at once; a root that did not run for a second judges nobody by silence in it. The control loop handles what has arrived before it ticks, as the test driver does.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -39,6 +39,24 @@
     build(context, count, centres, relay)
 
 
+@behave.given("a fast fleet of {count:d} nodes in {centres} that has settled")
+def build_fast(context, count, centres):
+    """Nodes that take each other for dead after seconds."""
+    relay = settings.RelaySettings(
+        roots=1,
+        heartbeat_s=0.5,
+        silent_s=1.5,
+        root_renew_s=3.0,
+        root_expire_s=7.5,
+        refresh_s=2.0,
+        expire_s=6.0,
+        forget_s=20.0,
+        retry_cap_s=1.0,
+        detached_readers=64,
+    )
+    build(context, count, centres, relay)
+
+
 @behave.when("a root dies")
 def kill_root(context):
     """Kill one root."""
@@ -54,6 +72,21 @@
     context.fleet.frozen.clear()
 
 
+@behave.then("no node takes a living node for dead for {seconds:d} seconds")
+def none_taken_for_dead(context, seconds):
+    """Look at every node's table every fifth of a second."""
+    made = context.fleet
+    for _ in range(seconds * 5):
+        made.run(0.2)
+        for name, core in made.cores_by_name.items():
+            dead = [
+                row.node
+                for row in core.tables.members_by_node.values()
+                if not row.live
+            ]
+            assert not dead, (name, dead)
+
+
 @behave.when("all roots of {centre} die")
 def kill_roots(context, centre):
     """Kill all roots of a data centre."""
@@ -484,7 +517,9 @@
 
 
 def _settled(context):
-    return fleet.settled(context.fleet, 3 * len(context.centres))
+    node = next(iter(context.fleet.cores_by_name.values()))
+    roots = node.tables.settings.relay.roots
+    return fleet.settled(context.fleet, roots * len(context.centres))
 
 
 def _child(context):
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -14,6 +14,17 @@
     Then it is no root any more and has a parent within 10 seconds
     And 6 nodes are roots
 
+  Scenario Outline: a root that was frozen takes no living node for dead
+    Given a fast fleet of 30 nodes in lipno that has settled
+    When a root is frozen for <seconds> seconds
+    Then no node takes a living node for dead for 10 seconds
+
+    Examples:
+      | seconds |
+      | 4       |
+      | 6       |
+      | 12      |
+
   Scenario: all roots of a data centre die at once
     Given a fleet of 60 nodes in lipno, svet that has settled
     When all roots of lipno die
--- a/src/arbutusstall/_proxy/control.py
+++ b/src/arbutusstall/_proxy/control.py
@@ -62,6 +62,9 @@
             self._carry_out(self._core.handle(event, self._clock.now()))
 
     def _tick(self) -> None:
+        # What has arrived goes first: after a pause the tick would take
+        # for silence what waits to be handled.
+        self._handle()
         if self._stopped:
             return
         self._carry_out(self._core.tick(self._clock.now()))
--- a/src/arbutusstall/_systems/attach.py
+++ b/src/arbutusstall/_systems/attach.py
@@ -76,8 +76,12 @@
             now.mono_s + message.retry_after_s
         )
         return
-    if message.others:
-        prefer(tables, message.others)
+    # Nodes that refuse may name each other for ever.
+    others = tuple(
+        other for other in message.others if other not in tables.relay.asked
+    )
+    prefer(tables, others)
+    if tables.relay.candidates:
         tables.next_attach_s = now.mono_s + _NEXT_S * tables.rng.random()
         return
     wait_s = min(message.retry_after_s, policy.retry_cap_s)
@@ -142,6 +146,7 @@
     if not state.candidates:
         return _new_round(tables, now)
     address = state.candidates.pop(0)
+    state.asked.add(address)
     linked = {link.address for link in tables.links_by_peer.values()}
     if address in linked or address == tables.member.relay:
         return []
@@ -158,6 +163,7 @@
         if now.mono_s >= until_s + policy.retry_cap_s:
             del retry[address]
     # The sort is stable: those that failed lately come last.
+    state.asked.clear()
     state.candidates = sorted(
         _candidates(tables),
         key=lambda address: now.mono_s < retry.get(address, 0.0),
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -32,8 +32,7 @@
     """Watch the links, look for missing ones and send heartbeats."""
     state = tables.relay
     if now.mono_s - state.last_run_s > _PAUSE_S:
-        for peer in state.heard_s_by_peer:
-            state.heard_s_by_peer[peer] = now.mono_s
+        _excuse_silence(tables, now)
     state.last_run_s = now.mono_s
     effects = _drop_silent(tables, now)
     effects += _follow_parent(tables, now)
@@ -42,6 +41,14 @@
     return effects
 
 
+def _excuse_silence(tables: node.Tables, now: _clock.Instant) -> None:
+    """Take nobody's silence into account that fell into a pause."""
+    heard = tables.relay.heard_s_by_peer
+    heard.update(dict.fromkeys(heard, now.mono_s))
+    alive = tables.spread.alive_s_by_node
+    alive.update(dict.fromkeys(alive, now.mono_s))
+
+
 def on_hello(
     tables: node.Tables,
     peer: str,
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -35,6 +35,7 @@
         leaving: Whether this node stops and hands its children over.
         moving_from: Parent that asked this node to move away.
         candidates: Addresses to ask for admission, best first.
+        asked: Addresses that were asked since the list was made.
         rounds: Candidate lists that were used up without success.
         attach_began_s: When the running attempt to attach began.
         tokens: Joiners that may be admitted now.
@@ -66,6 +67,7 @@
     leaving: bool = False
     moving_from: str = ""
     candidates: list[str] = dataclasses.field(default_factory=list)
+    asked: set[str] = dataclasses.field(default_factory=set)
     rounds: int = 0
     attach_began_s: float = 0.0
     tokens: float = 0.0
