Bound what targets, callers and the store may send

Cause: readers of bytes from others had limits for the length of a body (64 MB) and nothing else. A target that sent a reason phrase, a header, interim answers, chunk extensions or trailers without end was read until the caller's deadline, and httptools kept what it had not handed over yet; the issue measured 102 MB in 6 s. On machines of 128 to 552 MB a few bodies of 64 MB each end the process. A caller whose head trickled in byte by byte held its connection for ever, since each byte began the head's time anew. The store's client read any length.

Change: settings `reads`: bytes beside an answer's body, answers to other requests, bytes of a body, of a frame, of unsent messages, and bytes of bodies that the whole process holds; on the platform they are parts of the machine's memory. Past a limit the connection is closed, the request is lost ("unknown", so that nothing runs twice), and a line tells peer, bytes and limit. Callers whose body does not fit get 503 with Retry-After before anything ran. A connection that this side has aborted never completes an answer that ends with its connection.

--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -544,7 +544,9 @@
         return outcome
 
     async def run():
-        pool = http_client.Pool(context.raw_address, 8)
+        pool = http_client.Pool(
+            context.raw_address, 8, _settings.ReadSettings()
+        )
         return [await ask(pool, name) for name in (b"r1", b"r2")]
 
     context.outcomes = asyncio.run(run())
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -8,14 +8,13 @@
 from typing import cast
 from typing import Protocol
 
+from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._wire import messages
 
 LOG = logging.getLogger(__name__)
 
 _LENGTH = struct.Struct(">I")
-_MAX_FRAME_BYTES = 64 * 1024 * 1024
-_MAX_UNSENT_BYTES = 8 * 1024 * 1024
 _USER_TIMEOUT_MS = 3_000
 _BACKLOG = 512
 
@@ -37,6 +36,9 @@
 class FrameConnection(asyncio.Protocol):
     """A connection that carries messages both ways.
 
+    Args:
+        reads: Bounds on what is read and on what waits to be sent.
+
     Attributes:
         heard_s: Loop time at which bytes arrived last.
         owner: Gets what arrives; may be replaced.
@@ -45,9 +47,11 @@
     def __init__(
         self,
         owner: Owner,
+        reads: _settings.ReadSettings,
         on_made: abc.Callable[["FrameConnection"], None] | None = None,
     ) -> None:
         self.owner = owner
+        self._reads = reads
         self.heard_s = asyncio.get_running_loop().time()
         self._on_made = on_made
         self._transport: asyncio.Transport | None = None
@@ -86,7 +90,7 @@
         while len(buffer) - start >= _LENGTH.size:
             (size,) = _LENGTH.unpack_from(buffer, start)
             end = start + _LENGTH.size + size
-            if size > _MAX_FRAME_BYTES:
+            if size > self._reads.frame_bytes:
                 self._fail("a frame is too large")
                 return
             if len(buffer) < end:
@@ -110,7 +114,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
-        if transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
+        if transport.get_write_buffer_size() > self._reads.unsent_bytes:
             self._fail("the peer does not keep up")
             return False
         transport.write(_LENGTH.pack(len(data)) + data)
@@ -137,17 +141,21 @@
     """Accepts connections of other nodes."""
 
     def __init__(
-        self, address: str, make_owner: abc.Callable[[], Owner]
+        self,
+        address: str,
+        make_owner: abc.Callable[[], Owner],
+        reads: _settings.ReadSettings,
     ) -> None:
         self._address = address
         self._make_owner = make_owner
+        self._reads = reads
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Begin to accept."""
         host, _, port = self._address.rpartition(":")
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: FrameConnection(self._make_owner()),
+            lambda: FrameConnection(self._make_owner(), self._reads),
             host,
             int(port),
             backlog=_BACKLOG,
@@ -161,7 +169,10 @@
 
 
 async def connect(
-    address: str, owner: Owner, timeout_s: float
+    address: str,
+    owner: Owner,
+    reads: _settings.ReadSettings,
+    timeout_s: float,
 ) -> FrameConnection:
     """Open a connection to another node.
 
@@ -172,7 +183,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, made = await asyncio.get_running_loop().create_connection(
-                lambda: FrameConnection(owner), host, int(port)
+                lambda: FrameConnection(owner, reads), host, int(port)
             )
     except (OSError, TimeoutError) as exc:
         raise errors.PeerUnavailable(
--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -7,21 +7,26 @@
 import asyncio
 from collections import abc
 import dataclasses
+import logging
 import re
 import socket
 from typing import cast
 
 import httptools
 
+from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 
+LOG = logging.getLogger(__name__)
+
 _CONNECT_S = 1.0
 _IDLE_S = 8.0
 # The target counts its idle time from an earlier moment than this side.
 _IDLE_PART = 0.7
-_MAX_BODY_BYTES = 64 * 1024 * 1024
-_MAX_HEADERS = 256
+# A chunk of one byte has five more around it.
+_OVERHEAD_PER_BODY_BYTE = 8
 _TIMEOUT = re.compile(r"timeout=(\d+)")
 
 Accepts = abc.Callable[[http_messages.Response], bool]
@@ -34,12 +39,16 @@
     def __init__(self, pool: "Pool") -> None:
         self.reusable = True
         self.idle_until_s = 0.0
+        self._aborted = False
         self._pool = pool
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._accepts: Accepts | None = None
         self._done: Done | None = None
         self._head_request = False
+        self._received_bytes = 0
+        self._foreign_answers = 0
+        self._share = byte_budget.Share(pool.budget)
         self._start_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -53,10 +62,11 @@
         """End the request in flight, if there is one."""
         self._transport = None
         self.reusable = False
+        self._share.release()
         self._pool.forget(self)
         if self._done is None:
             return
-        if exc is None and self._ends_with_connection():
+        if exc is None and not self._aborted and self._ends_with_connection():
             self._complete()
             return
         self._finish(self._lost(str(exc or "closed by the target")))
@@ -67,15 +77,14 @@
             # Nobody asked: these bytes belong to no request.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reusable = False
         except httptools.HttpParserError as exc:
-            self.reusable = False
-            if self._done is not None:
-                self._finish(self._lost(f"unreadable answer: {exc}"))
-            self.close()
+            self._give_up(f"unreadable answer: {exc}")
+        self._check_overhead()
 
     def send(
         self, data: bytes, *, head_only: bool, accepts: Accepts, done: Done
@@ -92,6 +101,8 @@
         self._accepts = accepts
         self._done = done
         self._head_request = head_only
+        self._received_bytes = 0
+        self._foreign_answers = 0
         self._start_message()
         if self._transport is None:
             self._finish(self._lost("closed before the request"))
@@ -101,6 +112,7 @@
     def close(self) -> None:
         """Close the connection; a request in flight is lost."""
         self.reusable = False
+        self._aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -128,9 +140,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
-        if len(self._headers) < _MAX_HEADERS:
-            pair = (name.decode("latin-1"), value.decode("latin-1"))
-            self._headers.append(pair)
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Note that the head is whole."""
@@ -142,10 +152,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
+        if self._done is None:
+            return
         self._body += body
-        if len(self._body) > _MAX_BODY_BYTES and self._done is not None:
-            self._finish(self._lost("the answer is too large"))
-            self.close()
+        limit = self._pool.reads.answer_bytes
+        if len(self._body) > limit:
+            self._give_up(f"a body of more than {limit} bytes")
+        elif not self._share.take(len(body)):
+            limit = self._pool.budget.limit
+            self._give_up(f"more than {limit} bytes of bodies are held")
 
     def on_message_complete(self) -> None:
         """Hand the response on if it belongs to the request."""
@@ -166,10 +181,7 @@
         )
         accepts = self._accepts
         if accepts is None or not accepts(response):
-            # An answer to an earlier request; the own one may follow.
-            self.reusable = False
-            if self._transport is None:
-                self._finish(self._lost("only an answer to another request"))
+            self._drop_foreign()
             return
         if self._transport and self._transport.get_write_buffer_size():
             # The target answered before it had read the whole request.
@@ -177,6 +189,42 @@
         self._note_idle_limit()
         self._finish(response)
 
+    def _drop_foreign(self) -> None:
+        """Drop an answer to an earlier request; the own one may follow."""
+        self.reusable = False
+        self._received_bytes = 0
+        self._foreign_answers += 1
+        if self._transport is None:
+            self._finish(self._lost("only an answer to another request"))
+        elif self._foreign_answers > self._pool.reads.foreign_answers:
+            self._give_up("too many answers to other requests")
+
+    def _check_overhead(self) -> None:
+        """End an answer that does not get on with its body."""
+        if self._done is None:
+            return
+        body_bytes = len(self._body)
+        allowed = self._pool.reads.overhead_bytes
+        allowed += _OVERHEAD_PER_BODY_BYTE * body_bytes
+        if self._received_bytes - body_bytes > allowed:
+            self._give_up(f"more than {allowed} bytes beside the body")
+
+    def _give_up(self, reason: str) -> None:
+        """Close the connection; a request in flight is lost."""
+        self.reusable = False
+        if self._done is not None:
+            LOG.warning(
+                {
+                    "event": "answer-dropped",
+                    "peer": self._pool.address,
+                    "received_bytes": self._received_bytes,
+                    "reason": reason,
+                }
+            )
+            self._finish(self._lost(reason))
+        self._body.clear()
+        self.close()
+
     def _note_idle_limit(self) -> None:
         value = http_messages.get(tuple(self._headers), "keep-alive")
         found = _TIMEOUT.search(value)
@@ -189,6 +237,7 @@
     ) -> None:
         done, self._done = self._done, None
         self._accepts = None
+        self._share.release()
         if done is not None:
             done(outcome)
 
@@ -206,6 +255,7 @@
     def _start_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
+        self._share.release()
         self._head_done = False
 
 
@@ -222,11 +272,25 @@
 
 
 class Pool:
-    """Connections to one target; the newest idle one is used first."""
+    """Connections to one target; the newest idle one is used first.
+
+    Args:
+        limit: Most connections at the same time.
+        reads: Bounds on what the target sends.
+        budget: Counts the bodies that are being read; its own if None.
+    """
 
-    def __init__(self, address: str, limit: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        reads: _settings.ReadSettings,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> None:
         self.address = address
         self.limit = limit
+        self.reads = reads
+        self.budget = budget or byte_budget.ByteBudget(reads.held_bytes)
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
         self._opening = 0
--- a/src/arbutusstall/_proxy/http_server.py
+++ b/src/arbutusstall/_proxy/http_server.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._tables import agreed
 
@@ -20,6 +21,9 @@
 _REQUEST_TIMEOUT = 408
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
+_UNAVAILABLE = 503
+# After this the bodies that are held now are likely to be gone.
+_RETRY_AFTER = (("Retry-After", "1"),)
 
 
 class Exchange:
@@ -67,6 +71,9 @@
 class HttpServer:
     """Serves a handler on one address.
 
+    Args:
+        bodies: Bounds the bodies that the process holds.
+
     Attributes:
         limits: What callers may send; may be replaced at any time.
         closing: Whether each connection ends after its next answer.
@@ -77,8 +84,10 @@
         address: str,
         handler: Handler,
         limits: agreed.CallerLimits | None = None,
+        bodies: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.limits = limits or agreed.CallerLimits()
+        self.bodies = bodies
         self.closing = False
         self.handler = handler
         self.loop = asyncio.get_running_loop()
@@ -149,6 +158,11 @@
         self._reading = False
         self._failed = False
         self._changed_s = server.loop.time()
+        self._began_s = 0.0
+        self._head_done = False
+        self._share: byte_budget.Share | None = None
+        if server.bodies is not None:
+            self._share = byte_budget.Share(server.bodies)
         self._start_message()
 
     @property
@@ -166,6 +180,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._server.remove(self)
+        if self._share is not None:
+            self._share.release()
         exchange, self._current = self._current, None
         if exchange is not None:
             exchange.cancel()
@@ -186,6 +202,7 @@
 
     def on_message_begin(self) -> None:
         self._reading = True
+        self._began_s = self._server.loop.time()
         self._start_message()
 
     def on_url(self, url: bytes) -> None:
@@ -197,14 +214,19 @@
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        self._head_done = True
         pairs = tuple(self._headers)
         if http_messages.get(pairs, "expect").lower() == "100-continue":
             self._write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
+        if self._failed:
+            return
         self._body += body
         if len(self._body) > self._server.limits.body_bytes:
             self._reject(_BODY_TOO_LARGE)
+        elif self._share is not None and not self._share.take(len(body)):
+            self._reject(_UNAVAILABLE, _RETRY_AFTER)
 
     def on_message_complete(self) -> None:
         self._reading = False
@@ -245,6 +267,8 @@
             )
         )
         self._changed_s = self._server.loop.time()
+        if self._share is not None and not (self._waiting or self._reading):
+            self._share.release()
         if close:
             self._transport.close()
         elif self._waiting:
@@ -263,6 +287,9 @@
             return
         limits = self._server.limits
         age_ms = (now_s - self._changed_s) * 1000
+        if self._reading and not self._head_done:
+            # Bytes that trickle in do not make a head come any sooner.
+            age_ms = (now_s - self._began_s) * 1000
         if self._reading and age_ms > limits.header_timeout_ms:
             self._reject(_REQUEST_TIMEOUT)
         elif age_ms > limits.idle_timeout_ms:
@@ -273,6 +300,7 @@
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._head_bytes = 0
+        self._head_done = False
 
     def _begin(self, exchange: Exchange, keep_alive: bool) -> None:
         self._current = exchange
@@ -284,12 +312,12 @@
         if self._head_bytes > self._server.limits.header_bytes:
             self._reject(_HEAD_TOO_LARGE)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: http_messages.Pairs = ()) -> None:
         if self._failed or self._transport is None:
             return
         self._failed = True
         if self._current is None:
-            response = http_messages.Response(status=status)
+            response = http_messages.Response(status=status, headers=headers)
             self._write(http_messages.encode_response(response, close=True))
             self._transport.close()
 
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -9,6 +9,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import http_client
 from arbutusstall._proxy import http_messages
@@ -56,6 +57,8 @@
 
     Args:
         put: Takes events for the decision logic.
+        bodies: Bounds the bodies that the process holds; a budget of its
+            own if None.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         incarnation: int,
         put: abc.Callable[[_effects.Event], None],
         log: events.EventLog,
+        bodies: byte_budget.ByteBudget | None = None,
     ) -> None:
         calls = settings.calls
         self.incarnation = incarnation
@@ -72,6 +76,9 @@
         self._dialect = dialect
         self._put = put
         self._log = log
+        self._bodies = bodies or byte_budget.ByteBudget(
+            settings.reads.held_bytes
+        )
         self._loop = asyncio.get_running_loop()
         self._began_s = self._loop.time()
         self._counter = outcome_counter.OutcomeCounter(put)
@@ -492,7 +499,9 @@
         if self._pool is not None:
             self._pool.close()
         limit = self._settings.calls.connections
-        self._pool = http_client.Pool(address, limit)
+        self._pool = http_client.Pool(
+            address, limit, self._settings.reads, self._bodies
+        )
 
     def _log_end(
         self,
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -19,6 +19,7 @@
 from arbutusstall._log import roster
 from arbutusstall._log import source as sources
 from arbutusstall._proxy import admin
+from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import frames
@@ -78,25 +79,28 @@
         self._control = control.ControlLoop(
             self.core, _clock.SystemClock(), settings.tick_s
         )
+        bodies = byte_budget.ByteBudget(settings.reads.held_bytes)
         self.inbound = inbound.Inbound(
             settings,
             surroundings.dialect,
             incarnation,
             self._control.put,
             self.log,
+            bodies,
         )
         self.outbound = outbound.Outbound(
             settings,
             surroundings.dialect,
-            peers.Peers(settings.node, self.inbound),
+            peers.Peers(settings.node, self.inbound, settings.reads),
             self.inbound.runs,
             self.log,
             f"{settings.node}-{incarnation:x}",
         )
-        self._streams = streams.Streams(self._control.put)
+        self._streams = streams.Streams(self._control.put, settings.reads)
         self._acceptor = frames.FrameServer(
             settings.addresses.inbound,
             streams.Acceptor(self._streams, self.inbound).owner,
+            settings.reads,
         )
         self._log_worker = log_worker.LogWorker(
             surroundings.log, settings.log, self
@@ -105,7 +109,7 @@
             surroundings.source, settings.log, self._control.put_from_thread
         )
         self._callers = http_server.HttpServer(
-            settings.addresses.callers, self.outbound
+            settings.addresses.callers, self.outbound, bodies=bodies
         )
         self._admin = http_server.HttpServer(
             settings.addresses.admin, admin.Admin(self.core)
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
@@ -92,8 +93,11 @@
 class RemotePeer:
     """The inbound proxy of another node."""
 
-    def __init__(self, node: str, address: str) -> None:
+    def __init__(
+        self, node: str, address: str, reads: _settings.ReadSettings
+    ) -> None:
         self.address = address
+        self._reads = reads
         self._node = node
         self._loop = asyncio.get_running_loop()
         self._connection: frames.FrameConnection | None = None
@@ -250,7 +254,7 @@
         self._greeted.clear()
         try:
             self._connection = await frames.connect(
-                self.address, self, _CONNECT_S
+                self.address, self, self._reads, _CONNECT_S
             )
             self._connection.send(messages.CallGreeting(node=self._node))
             async with asyncio.timeout(_GREETING_S):
@@ -305,8 +309,14 @@
 class Peers:
     """The inbound proxies by node."""
 
-    def __init__(self, node: str, local: inbound.Inbound) -> None:
+    def __init__(
+        self,
+        node: str,
+        local: inbound.Inbound,
+        reads: _settings.ReadSettings,
+    ) -> None:
         self._node = node
+        self._reads = reads
         self._local = LocalPeer(local)
         self._remote_by_node: dict[str, RemotePeer] = {}
         self._loop = asyncio.get_running_loop()
@@ -321,7 +331,7 @@
         if peer is None or peer.address != member.inbound:
             if peer is not None:
                 peer.close()
-            peer = RemotePeer(self._node, member.inbound)
+            peer = RemotePeer(self._node, member.inbound, self._reads)
             self._remote_by_node[member.node] = peer
         return peer
 
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -5,6 +5,7 @@
 import logging
 
 from arbutusstall import _effects
+from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
@@ -55,8 +56,13 @@
         put: Takes the events.
     """
 
-    def __init__(self, put: abc.Callable[[_effects.Event], None]) -> None:
+    def __init__(
+        self,
+        put: abc.Callable[[_effects.Event], None],
+        reads: _settings.ReadSettings,
+    ) -> None:
         self._put = put
+        self._reads = reads
         self._streams_by_peer: dict[str, _Stream] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._last: tuple[messages.Message, bytes] | None = None
@@ -123,7 +129,7 @@
     async def _open(self, stream: _Stream, effect: _effects.Connect) -> None:
         try:
             connection = await frames.connect(
-                effect.address, stream, _CONNECT_S
+                effect.address, stream, self._reads, _CONNECT_S
             )
         except errors.PeerUnavailable as exc:
             self.closed(stream, exc.reason)
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -43,6 +43,7 @@
             that arrive within it are read together.
         append_bound_s: How long an append is repeated.
         pending_appends: Records that wait to be appended at most.
+        answer_bytes: Most bytes of one answer.
     """
 
     url: str
@@ -53,6 +54,7 @@
     retry_cap_s: float = 2.0
     append_bound_s: float = 60.0
     pending_appends: int = 256
+    answer_bytes: int = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -220,6 +222,30 @@
     key_horizon_ms: int = 60_000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReadSettings:
+    """Most bytes that a node takes from others.
+
+    Attributes:
+        overhead_bytes: What a target sends beside the body of an answer:
+            status line, header lines, interim answers, trailers.
+        foreign_answers: Answers to other requests that are dropped before
+            the own one.
+        answer_bytes: Body of a target's answer.
+        frame_bytes: One message of another node.
+        unsent_bytes: Messages that wait to be sent to another node.
+        held_bytes: Bodies that the whole process reads or passes on at
+            the same time.
+    """
+
+    overhead_bytes: int = 64 * 1024
+    foreign_answers: int = 4
+    answer_bytes: int = 16 * 1024 * 1024
+    frame_bytes: int = 24 * 1024 * 1024
+    unsent_bytes: int = 8 * 1024 * 1024
+    held_bytes: int = 64 * 1024 * 1024
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NodeSettings:
     """Everything a node has to be told.
@@ -245,5 +271,6 @@
     relay: RelaySettings = RelaySettings()
     rollout: RolloutSettings = RolloutSettings()
     calls: CallSettings = CallSettings()
+    reads: ReadSettings = ReadSettings()
     log_level: str = "INFO"
     tick_s: float = 0.1
--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -22,6 +22,9 @@
 _SWITCHING = re.compile(rb"HTTP/\S+ 1\d\d")
 _BODILESS = frozenset({204, 304})
 _DEFAULT_IDLE = 8
+_MAX_HEAD_BYTES = 256 * 1024
+# What a callback returns to let libcurl end the exchange.
+_ABORT = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,6 +35,7 @@
         timeout_s: Limit for the whole exchange in seconds.
         connect_timeout_s: Limit for opening a connection in seconds.
         fresh: Whether a new connection must be opened.
+        answer_bytes: Most bytes of the answer's body.
     """
 
     method: str
@@ -41,6 +45,7 @@
     timeout_s: float = 5.0
     connect_timeout_s: float = 1.0
     fresh: bool = False
+    answer_bytes: int = 64 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,6 +57,30 @@
     body: bytes
 
 
+class _Received:
+    """Collects an answer up to its limits."""
+
+    def __init__(self, body_bytes: int) -> None:
+        self.body = io.BytesIO()
+        self.lines: list[bytes] = []
+        self._body_bytes = body_bytes
+        self._head_bytes = 0
+
+    def write(self, data: bytes) -> int:
+        """Keep a part of the body."""
+        if self.body.tell() + len(data) > self._body_bytes:
+            return _ABORT
+        return self.body.write(data)
+
+    def add_line(self, line: bytes) -> int:
+        """Keep a line of a head; interim answers have heads as well."""
+        self._head_bytes += len(line)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            return _ABORT
+        self.lines.append(line)
+        return len(line)
+
+
 class Connection:
     """A curl handle with the one connection that it keeps."""
 
@@ -70,18 +99,19 @@
             OutcomeUnknown: The exchange broke off or timed out.
         """
         curl = self._curl
-        body = io.BytesIO()
-        lines: list[bytes] = []
+        received = _Received(request.answer_bytes)
         self._heads = 0
         self._set(request)
-        curl.setopt(pycurl.WRITEFUNCTION, body.write)
-        curl.setopt(pycurl.HEADERFUNCTION, lines.append)
+        curl.setopt(pycurl.WRITEFUNCTION, received.write)
+        curl.setopt(pycurl.HEADERFUNCTION, received.add_line)
         try:
             curl.perform()
         except pycurl.error as exc:
             self._broken = True
             raise self._error(request, exc) from exc
-        return self._response(request, lines, body.getvalue())
+        return self._response(
+            request, received.lines, received.body.getvalue()
+        )
 
     def abort(self) -> None:
         """Break off the exchange that another thread waits for."""
--- a/src/arbutusstall/_shell/log_client.py
+++ b/src/arbutusstall/_shell/log_client.py
@@ -54,6 +54,7 @@
                 url=f"{self._settings.url}/records",
                 body=data,
                 timeout_s=self._settings.request_timeout_s,
+                answer_bytes=self._settings.answer_bytes,
             ),
             step="log.append",
         )
@@ -68,6 +69,7 @@
                 url=f"{self._settings.url}/records"
                 f"?from={offset}&wait_ms={wait_ms}",
                 timeout_s=self._settings.request_timeout_s + wait_s,
+                answer_bytes=self._settings.answer_bytes,
             ),
             step="log.read",
         )
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -23,6 +23,11 @@
 # All nodes share one allowance beside the ratio.
 _RETRY_BURST = 2.0
 _METRICS_PORT = 9464
+# Parts of the machine's memory.
+_HELD_PART = 0.25
+_ANSWER_PART = 0.06
+_FRAME_PART = 0.09
+_BYTES_PER_MB = 1_000_000
 # Each call to the store is paid for, and a configuration has seconds.
 _READ_GAP_S = 0.6
 
@@ -37,6 +42,7 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
     max_fds: int = 4_096
+    memory_mb: int = 300
 
 
 class _Store(msgspec.Struct, frozen=True, rename="camel"):
@@ -164,6 +170,7 @@
             detached_readers=64,
         ),
         rollout=_settings.RolloutSettings(watch_s=2.0),
+        reads=_reads(found.limits.memory_mb * _BYTES_PER_MB),
         calls=_settings.CallSettings(
             slots=1,
             connections=max(64, found.limits.max_fds - _RESERVED_DESCRIPTORS),
@@ -176,3 +183,11 @@
             retry_share=retry_ratio * _RETRY_BUDGET_PART,
         ),
     )
+
+
+def _reads(memory_bytes: int) -> _settings.ReadSettings:
+    return _settings.ReadSettings(
+        answer_bytes=int(memory_bytes * _ANSWER_PART),
+        frame_bytes=int(memory_bytes * _FRAME_PART),
+        held_bytes=int(memory_bytes * _HELD_PART),
+    )
--- a/src/arbutusstall/platform/store.py
+++ b/src/arbutusstall/platform/store.py
@@ -185,6 +185,7 @@
             body=body,
             timeout_s=self._settings.request_timeout_s + wait_s,
             connect_timeout_s=self._settings.request_timeout_s,
+            answer_bytes=self._settings.answer_bytes,
         )
         try:
             return http.send(request)
--- a/src/arbutusstall/settings.py
+++ b/src/arbutusstall/settings.py
@@ -6,6 +6,7 @@
 from arbutusstall._settings import LeaseSettings
 from arbutusstall._settings import LogSettings
 from arbutusstall._settings import NodeSettings
+from arbutusstall._settings import ReadSettings
 from arbutusstall._settings import RelaySettings
 from arbutusstall._settings import RolloutSettings
 from arbutusstall._settings_files import decode
@@ -18,6 +19,7 @@
     "LeaseSettings",
     "LogSettings",
     "NodeSettings",
+    "ReadSettings",
     "RelaySettings",
     "RolloutSettings",
     "decode",
