Count the time for which a machine was suspended

Cause: event loop and decisions read the monotonic clock, which stands still while a machine is suspended. On waking, a lease, a place in the queue and a call's deadline were taken for valid although they had run out. A call with 500 ms left that lay in a socket for 5 s was started at the target.

Change: the loop's time and the clock of the decisions read CLOCK_BOOTTIME, which counts a suspension, so that timers that fell due are called at once on waking. A node that stood still does not take that time for silence of the lease's holder either.

--- a/features/log_lease.feature
+++ b/features/log_lease.feature
@@ -33,6 +33,11 @@
     Then the node does not claim the lease while it is out
     And it waits a whole term after the outage before it claims
 
+  Scenario: a node that stood still does not claim a lease that is held
+    Given a root node that follows a lease held by kvoty-9
+    When the node stands still for 20 seconds
+    Then it waits a whole term after the outage before it claims
+
   Scenario: a leader that stops hands the lease over
     Given a root node that claims the lease
     When its claim is read back 0 seconds after it was sent
--- /dev/null
+++ b/features/pauses.feature
@@ -0,0 +1,28 @@
+Feature: A machine that is suspended and wakes
+  # The operating system's monotonic clock stands still meanwhile; the
+  # steps replace it and let real time go on beside it.
+
+  Scenario: the node's time goes on
+    Given an event loop on a machine that can be suspended
+    When a timer of 2 seconds is set and it is suspended for 5 seconds
+    Then the timer is called at once
+    And the clock of the node's decisions has moved by 5 seconds
+
+  Scenario: a leader that was suspended past its term decides nothing
+    Given a leader on a machine that can be suspended
+    When it is suspended for 6 seconds
+    Then it is not the leader when it wakes
+
+  Scenario: a call that waited for a slot is refused, not started late
+    Given an inbound proxy on a machine that can be suspended
+    And its target runs one call and another one waits
+    When it is suspended for 5 seconds
+    Then the waiting call is answered not run
+    And the running call is answered unknown
+    And the target got one request
+
+  Scenario: a call that lay in a socket meanwhile is refused
+    Given an inbound proxy on a machine that can be suspended
+    When a call with 500 ms left arrives that was sent 5 seconds ago
+    Then it is answered not run for "deadline passed"
+    And the target got no request
--- a/features/steps/log_lease_steps.py
+++ b/features/steps/log_lease_steps.py
@@ -11,6 +11,7 @@
 from arbutusstall._log import records
 from arbutusstall._systems import checkpoint
 from arbutusstall._systems import lease
+from arbutusstall._systems import tree
 
 _RENEW_S = 1.0
 _EXPIRE_S = 4.0
@@ -197,6 +198,16 @@
         context.claims += _lease_run(context)
 
 
+@behave.when("the node stands still for {seconds:d} seconds")
+def stand_still(context, seconds):
+    """Run nothing, then what a tick runs of links and lease."""
+    tree.run(context.core.tables, context.clock.now())
+    context.clock.advance(float(seconds))
+    tree.run(context.core.tables, context.clock.now())
+    claims = _lease_run(context)
+    assert claims == [], claims
+
+
 @behave.then("the node does not claim the lease while it is out")
 def no_claims(context):
     """Check the effects during the outage."""
--- a/src/arbutusstall/_clock.py
+++ b/src/arbutusstall/_clock.py
@@ -10,7 +10,8 @@
     """One reading of the clock.
 
     Attributes:
-        mono_s: Monotonic seconds; only differences have a meaning.
+        mono_s: Monotonic seconds that also pass while the machine is
+            suspended; only differences have a meaning.
         wall_s: Seconds since the Unix epoch.
     """
 
@@ -18,6 +19,15 @@
     wall_s: float
 
 
+def steady_s() -> float:
+    """Return monotonic seconds that count a suspension of the machine.
+
+    `time.monotonic` stands still meanwhile, so that whoever wakes would
+    take a lease, a deadline or an admission for valid that has run out.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Source of time."""
 
@@ -31,7 +41,7 @@
 
     def now(self) -> Instant:
         """Return the current reading."""
-        return Instant(mono_s=time.monotonic(), wall_s=time.time())
+        return Instant(mono_s=steady_s(), wall_s=time.time())
 
 
 class ManualClock:
--- a/src/arbutusstall/_proxy/source_worker.py
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -5,8 +5,8 @@
 import logging
 import random
 import threading
-import time
 
+from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
@@ -65,7 +65,7 @@
         failures = 0
         position: int | None = None
         while not stop.is_set():
-            began_s = time.monotonic()
+            began_s = _clock.steady_s()
             try:
                 if position is None:
                     read = self._source.read_all()
@@ -86,7 +86,7 @@
             for event in read.events:
                 self._put(event)
             stop.wait(
-                pacing.read_pause_s(self._settings, began_s, time.monotonic())
+                pacing.read_pause_s(self._settings, began_s, _clock.steady_s())
             )
 
     def _tell(self, *, available: bool, reason: str = "") -> None:
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -47,6 +47,7 @@
     heard.update(dict.fromkeys(heard, now.mono_s))
     alive = tables.spread.alive_s_by_node
     alive.update(dict.fromkeys(alive, now.mono_s))
+    tables.lease_seen_s = now.mono_s
 
 
 def on_hello(
