Send large bodies in parts when they are asked for

Their links of 8 Mbit/s carry 0.74 MB/s of bodies already at the usual load. Each upload was sent whole with its call, up to four times when it was refused, and everything else on the link waited behind it: nested calls of 10 to 80 ms were answered after 340 to 590 ms.

Change: a call with a body over 8 KiB comes without it. The inbound proxy refuses at once what it would not admit, else asks for two bodies at a time, in order of rank, and gets them in parts of 8 KiB between which other messages pass. The time on the way is taken off the deadline. A body that stops halfway, or is longer or shorter than announced, never runs. Held still: a body is whole in the memory of both nodes (bounded by `reads.held_bytes`); it is not streamed through.

--- /dev/null
+++ b/features/calls_bodies.feature
@@ -0,0 +1,53 @@
+Feature: Large bodies between nodes
+  # The pattern: many callers upload to few endpoints over narrow links.
+
+  Scenario: bodies are asked for a few at a time, urgent ones first
+    Given 2 bodies may be on their way at the same time
+    When 3 bodies of rank 2 and then 2 of rank 1 are offered
+    Then the first 2 of rank 2 are asked for
+    And as bodies end, those of rank 1 come before the last of rank 2
+    And a body that is withdrawn is never asked for
+
+  Scenario: a body arrives whole and once
+    Given two nodes and a target for uploads
+    When 6 bodies of 300000 bytes are sent at the same time
+    Then each caller gets the answer to its own
+    And the target got each body once, byte by byte
+    And at most 2 bodies were on their way at the same time
+
+  Scenario Outline: a refused upload costs the link nothing
+    Given two nodes and a target for uploads
+    When the target <state> and a body of 300000 bytes is sent
+    Then it is answered not run for "<reason>"
+    And less than 5000 bytes went to the other node
+    And the target got no upload
+
+    Examples:
+      | state     | reason    |
+      | drains    | draining  |
+      | is full   | overload  |
+      | is gone   | no target |
+
+  Scenario: small messages pass a large body on a slow link
+    Given a connection of nodes whose other side reads 200000 bytes a second
+    When a body of 400000 bytes and then a small call are sent
+    Then the small call arrives within 1 second, before the body's end
+    And the body arrives as it was sent
+
+  Scenario Outline: a body that <what> never runs
+    Given two nodes and a target for uploads
+    When the sender of a body <what>
+    Then the outcome for the sender is <outcome>
+    And the target got no upload
+
+    Examples:
+      | what                         | outcome |
+      | stops halfway and leaves     | revoked |
+      | says more than it sends      | not run |
+      | sends more than it says      | not run |
+      | takes longer than it has     | not run |
+
+  Scenario: the time that a body takes is taken off the deadline
+    Given two nodes and a target for uploads
+    When a body takes 400 ms of 1000 ms on its way
+    Then the target is given at most 620 ms
--- a/features/calls_pressure.feature
+++ b/features/calls_pressure.feature
@@ -71,3 +71,14 @@
   Scenario: speeds that differ a little do not send calls far away
     Given a cost balancer with a near endpoint at half speed and a far one
     Then all calls stay near until half as many wait as it has slots
+
+  Scenario: while every endpoint sheds, nested calls get the retries
+    Given a retry budget of 15 percent with a burst of 2
+    When 10000 calls come, half of them nested, and every second is shed
+    Then nested calls get at least 80 percent of the retries
+    And all retries are at most 15 percent of the calls and the burst
+
+  Scenario: without pressure requests of callers get their retries as well
+    Given a retry budget of 15 percent with a burst of 2
+    When 10000 calls come, half of them nested, and every 20th is shed
+    Then 9 of 10 shed calls get their retry
--- /dev/null
+++ b/features/steps/bodies_steps.py
@@ -0,0 +1,483 @@
+"""Steps for large bodies between nodes, over real connections."""
+
+import asyncio
+import contextlib
+import socket
+
+import behave
+import fleet
+import msgspec
+import ports
+
+from arbutusstall import _effects
+from arbutusstall import settings as node_settings
+from arbutusstall._proxy import bodies
+from arbutusstall._proxy import byte_budget
+from arbutusstall._proxy import frames
+from arbutusstall._proxy import inbound
+from arbutusstall._proxy import peers
+from arbutusstall._proxy import streams
+from arbutusstall._shell import events
+from arbutusstall._systems import transfers
+from arbutusstall._tables import members
+from arbutusstall._wire import messages
+from arbutusstall.platform import dialect
+
+_WAIT_S = 10.0
+_READS = node_settings.ReadSettings()
+_CALL = messages.CallRequest(
+    call_id="",
+    request_id="",
+    incarnation=1,
+    sent_ms=0,
+    service="maturacao",
+    version="v1",
+    route="a.example/x/",
+    method="POST",
+    path="/x/1",
+    headers=(),
+    body=b"",
+    deadline_ms=5_000,
+    idempotent=False,
+)
+
+
+@behave.given("{count:d} bodies may be on their way at the same time")
+def may_run(context, count):
+    """None is yet."""
+    context.transfers = transfers.Transfers(count)
+
+
+@behave.when("3 bodies of rank 2 and then 2 of rank 1 are offered")
+def offered(context):
+    """Note which are asked for."""
+    context.asked = []
+    for name in ("low-0", "low-1", "low-2", "high-0", "high-1"):
+        rank = 1 if name.startswith("high") else 2
+        context.asked += context.transfers.offer(name, rank)
+
+
+@behave.then("the first 2 of rank 2 are asked for")
+def first_asked(context):
+    """Nobody else had come."""
+    assert context.asked == ["low-0", "low-1"], context.asked
+
+
+@behave.then("as bodies end, those of rank 1 come before the last of rank 2")
+def in_order(context):
+    """One for each that ends."""
+    ended = [context.transfers.end(name) for name in ("low-0", "low-1")]
+    assert ended == [("high-0",), ("high-1",)], ended
+    assert context.transfers.running == 2
+
+
+@behave.then("a body that is withdrawn is never asked for")
+def withdrawn(context):
+    """It was the only one that waited."""
+    assert context.transfers.end("low-2") == ()
+    assert context.transfers.end("high-0") == ()
+    assert context.transfers.running == 1
+
+
+class _UploadTarget(asyncio.Protocol):
+    """Reads requests with a length and answers each after a while."""
+
+    def __init__(self, context) -> None:
+        self._context = context
+        self._data = b""
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data) -> None:
+        self._data += data
+        head, end, body = self._data.partition(b"\r\n\r\n")
+        fields = dict(
+            line.lower().split(b": ", 1)
+            for line in head.split(b"\r\n")[1:]
+            if b": " in line
+        )
+        if not end or len(body) < int(fields[b"content-length"]):
+            return
+        self._data = b""
+        self._context.uploads.append((fields, body))
+        asyncio.get_running_loop().call_later(
+            0.05, self._answer, fields[b"x-request-id"]
+        )
+
+    def _answer(self, name) -> None:
+        self._transport.write(
+            b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
+            + name
+            + b"\r\nContent-Length: 2\r\n\r\nok"
+        )
+
+
+class _Nodes:
+    """An inbound proxy of one node and a peer of another one."""
+
+    def __init__(self, context) -> None:
+        self.context = context
+        self.most_running = 0
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        target_port, node_port = ports.take(), ports.take()
+        await loop.create_server(
+            lambda: _UploadTarget(self.context), "127.0.0.1", target_port
+        )
+        settings = fleet.settings(
+            0, "lipno", calls=node_settings.CallSettings(queue_ms=2_000)
+        )
+        self.inbound = inbound.Inbound(
+            settings,
+            dialect.PlatformDialect("vazeni"),
+            1,
+            lambda event: None,
+            events.EventLog(settings),
+        )
+        self.inbound.announced(
+            _effects.Announced(
+                service="maturacao",
+                version="v1",
+                address=f"127.0.0.1:{target_port}",
+                slots=20,
+                instance="i-1",
+            )
+        )
+        self.receiver = bodies.BodyReceiver(
+            self.inbound, _READS, byte_budget.ByteBudget(10_000_000)
+        )
+        acceptor = streams.Acceptor(
+            streams.Streams(lambda event: None, _READS),
+            self.inbound,
+            self.receiver,
+        )
+        self.address = f"127.0.0.1:{node_port}"
+        server = frames.FrameServer(self.address, acceptor.owner, _READS)
+        await server.start()
+        self.peers = peers.Peers("other", self.inbound, _READS)
+        self.peer = self.peers.get(
+            members.Member(
+                node="n0",
+                data_centre="lipno",
+                incarnation=1,
+                inbound=self.address,
+            )
+        )
+
+    async def send(self, name, body, **more):
+        """Send one call; return its answer."""
+        done = asyncio.get_running_loop().create_future()
+        call = msgspec.structs.replace(
+            _CALL,
+            call_id=name,
+            request_id=name,
+            headers=(("X-Request-Id", name),),
+            body=body,
+            **more,
+        )
+        self.peer.call(call, done.set_result)
+        while not done.done():
+            running = self.receiver._transfers.running
+            self.most_running = max(self.most_running, running)
+            await asyncio.sleep(0.001)
+        return done.result()
+
+
+def _run(context, work):
+    async def started():
+        context.nodes = _Nodes(context)
+        await context.nodes.start()
+        return await asyncio.wait_for(work(context.nodes), _WAIT_S)
+
+    return asyncio.run(started())
+
+
+@behave.given("two nodes and a target for uploads")
+def two_nodes(context):
+    """They are started with the loop of the next step."""
+    context.uploads = []
+
+
+def _body(number, count):
+    return bytes([number]) * (count - 1) + b"."
+
+
+@behave.when("{count:d} bodies of {size:d} bytes are sent at the same time")
+def send_bodies(context, count, size):
+    """Over one connection."""
+    context.bodies = [_body(number, size) for number in range(count)]
+
+    async def work(nodes):
+        return await asyncio.gather(
+            *(
+                nodes.send(f"r{number}", body)
+                for number, body in enumerate(context.bodies)
+            )
+        )
+
+    context.answers = _run(context, work)
+
+
+@behave.then("each caller gets the answer to its own")
+def own_answers(context):
+    """By the id that the target has echoed."""
+    for number, answer in enumerate(context.answers):
+        assert answer.status == 200, answer
+        assert ("X-Request-Id", f"r{number}") in answer.headers, answer
+
+
+@behave.then("the target got each body once, byte by byte")
+def bodies_right(context):
+    """In any order."""
+    got = sorted(body for _, body in context.uploads)
+    assert got == sorted(context.bodies), [len(body) for body in got]
+
+
+@behave.then("at most {count:d} bodies were on their way at the same time")
+def few_running(context, count):
+    """As seen every millisecond."""
+    assert 0 < context.nodes.most_running <= count
+
+
+@behave.when("the target {state} and a body of {size:d} bytes is sent")
+def refused_body(context, state, size):
+    """Count what the sender writes."""
+
+    async def work(nodes):
+        await nodes.send("warm", b"")
+        if state == "drains":
+            nodes.inbound.admission.draining = True
+        elif state == "is full":
+            nodes.inbound.admission.slots = 0
+            nodes.inbound.admission._queue_limit = 0
+        else:
+            nodes.inbound._target = None
+        sent = []
+        connection = nodes.peer._connection
+        write = connection._transport.write
+        with contextlib.suppress(AttributeError):
+            connection._transport.write = lambda data: (
+                sent.append(len(data)),
+                write(data),
+            )
+        answer = await nodes.send("r0", _body(0, size), aim_ms=100)
+        context.sent_bytes = sum(sent)
+        return answer
+
+    context.uploads = []
+    context.answer = _run(context, work)
+    context.uploads = [item for item in context.uploads if item[1]]
+
+
+@behave.then("less than {count:d} bytes went to the other node")
+def little_sent(context, count):
+    """The head of the call only."""
+    assert 0 < context.sent_bytes < count, context.sent_bytes
+
+
+@behave.then("the target got no upload")
+def no_upload(context):
+    """Not even a part."""
+    assert not context.uploads, context.uploads
+
+
+@behave.given(
+    "a connection of nodes whose other side reads {rate:d} bytes a second"
+)
+def slow_side(context, rate):
+    """Its kernel buffers are small."""
+    context.rate = rate
+
+
+@behave.when("a body of {size:d} bytes and then a small call are sent")
+def body_then_call(context, size):
+    """Note when each message is read."""
+    context.sent_body = bytes(index % 251 for index in range(size))
+
+    class Nobody:
+        def on_message(self, connection, message):
+            pass
+
+        def on_lost(self, connection, reason):
+            pass
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        listener.setblocking(False)
+        port = listener.getsockname()[1]
+        connection = await frames.connect(
+            f"127.0.0.1:{port}", Nobody(), _READS, 1.0
+        )
+        sock = connection._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8_192)
+        other, _ = await loop.sock_accept(listener)
+        began_s = loop.time()
+        connection.send_body("big", context.sent_body)
+        connection.send(msgspec.structs.replace(_CALL, call_id="small"))
+        data = b""
+        context.read = []
+        while not (context.read and context.read[-1][2]):
+            data += await loop.sock_recv(other, 4_096)
+            await asyncio.sleep(4_096 / context.rate)
+            while len(data) >= 4:
+                end = 4 + int.from_bytes(data[:4], "big")
+                if len(data) < end:
+                    break
+                message = messages.decode(data[4:end])
+                data = data[end:]
+                last = getattr(message, "last", False)
+                context.read.append((message, loop.time() - began_s, last))
+        connection.abort()
+        other.close()
+        listener.close()
+
+    asyncio.run(asyncio.wait_for(work(), 2 * _WAIT_S))
+
+
+@behave.then(
+    "the small call arrives within {limit:d} second, before the body's end"
+)
+def small_first(context, limit):
+    """The body takes two seconds."""
+    calls = [
+        (at_s, index)
+        for index, (message, at_s, _) in enumerate(context.read)
+        if isinstance(message, messages.CallRequest)
+    ]
+    assert len(calls) == 1, calls
+    assert calls[0][0] < limit, calls
+    assert calls[0][1] < len(context.read) - 1
+
+
+@behave.then("the body arrives as it was sent")
+def body_whole(context):
+    """Its parts are in order."""
+    parts = [
+        message.data
+        for message, _, _ in context.read
+        if isinstance(message, messages.CallBody)
+    ]
+    assert b"".join(parts) == context.sent_body
+
+
+class _RawSender:
+    """Speaks the messages of a node by hand."""
+
+    def __init__(self) -> None:
+        self.received = []
+
+    def on_message(self, connection, message):
+        """Keep it."""
+        self.received.append(message)
+
+    def on_lost(self, connection, reason):
+        """Do nothing."""
+
+    async def until(self, kind):
+        """Return the next message of a kind."""
+        for _ in range(3_000):
+            for message in self.received:
+                if isinstance(message, kind):
+                    self.received.remove(message)
+                    return message
+            await asyncio.sleep(0.001)
+        raise AssertionError(f"no {kind}: {self.received}")
+
+
+async def _offer(nodes, size, **more):
+    sender = _RawSender()
+    connection = await frames.connect(nodes.address, sender, _READS, 1.0)
+    connection.send(
+        msgspec.structs.replace(
+            _CALL,
+            call_id="r0",
+            request_id="r0",
+            headers=(("X-Request-Id", "r0"),),
+            body_bytes=size,
+            **more,
+        )
+    )
+    await sender.until(messages.CallBodyWanted)
+    return sender, connection
+
+
+def _part(data, last=False):
+    return messages.CallBody(call_id="r0", data=data, last=last)
+
+
+async def _stop_halfway(nodes):
+    _, connection = await _offer(nodes, 1_000)
+    connection.send(_part(b"x" * 500))
+    await asyncio.sleep(0.05)
+    connection.abort()
+    await asyncio.sleep(0.05)
+    sender = _RawSender()
+    other = await frames.connect(nodes.address, sender, _READS, 1.0)
+    other.send(messages.CallRevoke(call_id="r0", incarnation=1, sent_ms=0))
+    revoked = await sender.until(messages.CallRevoked)
+    return revoked.state.value
+
+
+async def _wrong_length(nodes, announced, sent):
+    sender, connection = await _offer(nodes, announced)
+    connection.send(_part(b"x" * sent, last=True))
+    answer = await sender.until(messages.CallAnswer)
+    return "not run" if answer.not_run else answer
+
+
+async def _too_long(nodes):
+    sender, connection = await _offer(nodes, 1_000, deadline_ms=300)
+    connection.send(_part(b"x" * 500))
+    answer = await sender.until(messages.CallAnswer)
+    connection.send(_part(b"x" * 500, last=True))
+    await asyncio.sleep(0.1)
+    return "not run" if answer.not_run else answer
+
+
+@behave.when("the sender of a body {what}")
+def broken_sender(context, what):
+    """By hand, over a connection of its own."""
+    work = {
+        "stops halfway and leaves": _stop_halfway,
+        "says more than it sends": lambda nodes: _wrong_length(
+            nodes, 1_000, 900
+        ),
+        "sends more than it says": lambda nodes: _wrong_length(
+            nodes, 1_000, 1_100
+        ),
+        "takes longer than it has": _too_long,
+    }[what]
+    context.outcome_seen = _run(context, work)
+
+
+@behave.then("the outcome for the sender is {outcome}")
+def sender_outcome(context, outcome):
+    """Truthful in each case."""
+    assert context.outcome_seen == outcome, context.outcome_seen
+
+
+@behave.when("a body takes {taken:d} ms of {left:d} ms on its way")
+def slow_body(context, taken, left):
+    """Its last part comes late."""
+
+    async def work(nodes):
+        sender, connection = await _offer(nodes, 1_000, deadline_ms=left)
+        connection.send(_part(b"x" * 500))
+        await asyncio.sleep(taken / 1_000)
+        connection.send(_part(b"x" * 500, last=True))
+        return await sender.until(messages.CallAnswer)
+
+    answer = _run(context, work)
+    assert answer.status == 200, answer
+
+
+@behave.then("the target is given at most {limit:d} ms")
+def deadline_given(context, limit):
+    """By the header that it got."""
+    given = [int(fields[b"x-deadline-ms"]) for fields, _ in context.uploads]
+    assert len(given) == 1, given
+    assert given[0] <= limit, given
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -7,6 +7,7 @@
 
 from arbutusstall import _effects
 from arbutusstall._systems import admission
+from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
 from arbutusstall._systems import caller_waits
 from arbutusstall._systems import revocation
@@ -457,3 +458,65 @@
         traffic.balancer.sent(row.node)
         sent += 1
     assert 8 <= sent <= 12, sent
+
+
+@behave.given(
+    "a retry budget of {percent:d} percent with a burst of {burst:d}"
+)
+def retry_budget(context, percent, burst):
+    """Of one service at one node."""
+    context.retry_share = percent / 100
+    context.retry_burst = burst
+    context.budget = attempts.RetryBudget(context.retry_share, burst)
+
+
+@behave.when(
+    "{count:d} calls come, half of them nested, and every second is shed"
+)
+def shed_second(context, count):
+    """By chance, as endpoints shed."""
+    _shed(context, count, 2)
+
+
+@behave.when(
+    "{count:d} calls come, half of them nested, and every {nth:d}th is shed"
+)
+def shed_some(context, count, nth):
+    """By chance, as endpoints shed."""
+    _shed(context, count, nth)
+
+
+def _shed(context, count, nth):
+    rng = random.Random(11)
+    context.call_count = count
+    context.shed = collections.Counter()
+    context.retried = collections.Counter()
+    for _ in range(count):
+        nested = rng.random() < 0.5
+        context.budget.deposit()
+        if rng.random() < 1 / nth:
+            context.shed[nested] += 1
+            context.retried[nested] += context.budget.withdraw(nested=nested)
+
+
+@behave.then("nested calls get at least {percent:d} percent of the retries")
+def nested_first(context, percent):
+    """An equal part would be half."""
+    part = context.retried[True] / context.retried.total()
+    assert part >= percent / 100, context.retried
+
+
+@behave.then(
+    "all retries are at most {percent:d} percent of the calls and the burst"
+)
+def within_budget(context, percent):
+    """And hardly less: what is allowed is used."""
+    most = context.call_count * percent / 100 + context.retry_burst
+    assert 0.95 * most <= context.retried.total() <= most, context.retried
+
+
+@behave.then("{most:d} of {count:d} shed calls get their retry")
+def most_retried(context, most, count):
+    """The others came close to each other."""
+    part = context.retried.total() / context.shed.total()
+    assert part >= most / count, (context.retried, context.shed)
--- /dev/null
+++ b/src/arbutusstall/_proxy/bodies.py
@@ -0,0 +1,143 @@
+"""Takes large bodies of calls from other nodes, a few at a time.
+
+A call with a large body comes without it. The body is asked for when the
+call would be admitted and its turn has come, so that a refusal costs the
+link nothing and small messages find it free.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+
+import msgspec
+
+from arbutusstall import _settings
+from arbutusstall._proxy import byte_budget
+from arbutusstall._proxy import inbound
+from arbutusstall._systems import admission
+from arbutusstall._systems import transfers
+from arbutusstall._wire import messages
+
+INCOMPLETE = "the body is not as long as announced"
+NO_ROOM = "no room for the body"
+
+# Part of the time left that a body may wait for its turn.
+_WAIT_PART = 0.25
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Offer:
+    call: messages.CallRequest
+    done: inbound.Done
+    want: transfers.Wanted
+    share: byte_budget.Share
+    arrived_s: float
+    timer: asyncio.TimerHandle
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class BodyReceiver:
+    """Calls of other nodes whose bodies are still to come.
+
+    Args:
+        budget: Counts the bodies that the process holds.
+    """
+
+    def __init__(
+        self,
+        proxy: inbound.Inbound,
+        reads: _settings.ReadSettings,
+        budget: byte_budget.ByteBudget,
+    ) -> None:
+        self._proxy = proxy
+        self._budget = budget
+        self._loop = asyncio.get_running_loop()
+        self._transfers = transfers.Transfers(reads.bodies)
+        self._offers_by_id: dict[str, _Offer] = {}
+
+    def offer(
+        self,
+        call: messages.CallRequest,
+        want: transfers.Wanted,
+        done: inbound.Done,
+    ) -> None:
+        """Refuse a call at once, or ask for its body in its turn.
+
+        Args:
+            want: Asks the sender for the body.
+            done: Called once with the answer.
+        """
+        refusal = self._proxy.preview(call)
+        if refusal:
+            self._proxy.turn_away(call, refusal, done)
+            return
+        left_ms = call.aim_ms or call.deadline_ms
+        self._offers_by_id[call.call_id] = _Offer(
+            call=call,
+            done=done,
+            want=want,
+            share=byte_budget.Share(self._budget),
+            arrived_s=self._loop.time(),
+            timer=self._loop.call_later(
+                left_ms * _WAIT_PART / 1000, self._waited, call.call_id
+            ),
+        )
+        self._ask(self._transfers.offer(call.call_id, call.rank))
+
+    def take(self, part: messages.CallBody) -> None:
+        """Add a part of a body; the call is submitted with the last."""
+        offer = self._offers_by_id.get(part.call_id)
+        if offer is None:
+            return
+        offer.body += part.data
+        if not offer.share.take(len(part.data)):
+            self._refuse(part.call_id, NO_ROOM)
+        elif len(offer.body) > offer.call.body_bytes:
+            self._refuse(part.call_id, INCOMPLETE)
+        elif part.last:
+            self._complete(offer)
+
+    def drop(self, call_id: str) -> bool:
+        """Forget a call whose body has not come; false if it is none."""
+        offer = self._offers_by_id.pop(call_id, None)
+        if offer is None:
+            return False
+        offer.timer.cancel()
+        offer.share.release()
+        self._ask(self._transfers.end(call_id))
+        return True
+
+    def _ask(self, call_ids: abc.Iterable[str]) -> None:
+        for call_id in call_ids:
+            offer = self._offers_by_id[call_id]
+            offer.timer.cancel()
+            left_s = offer.call.deadline_ms / 1000
+            offer.timer = self._loop.call_at(
+                offer.arrived_s + left_s, self._refuse, call_id, admission.LATE
+            )
+            offer.want(call_id)
+
+    def _complete(self, offer: _Offer) -> None:
+        call = offer.call
+        if len(offer.body) != call.body_bytes:
+            self._refuse(call.call_id, INCOMPLETE)
+            return
+        self.drop(call.call_id)
+        spent_ms = int((self._loop.time() - offer.arrived_s) * 1000)
+        whole = msgspec.structs.replace(
+            call,
+            body=bytes(offer.body),
+            body_bytes=0,
+            sent_ms=call.sent_ms + spent_ms,
+            deadline_ms=call.deadline_ms - spent_ms,
+            aim_ms=max(1, call.aim_ms - spent_ms) if call.aim_ms else 0,
+        )
+        self._proxy.submit(whole, offer.done)
+
+    def _waited(self, call_id: str) -> None:
+        self._refuse(call_id, admission.OVERLOAD)
+
+    def _refuse(self, call_id: str, reason: str) -> None:
+        offer = self._offers_by_id[call_id]
+        self.drop(call_id)
+        self._proxy.turn_away(offer.call, reason, offer.done)
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -1,6 +1,7 @@
 """Messages between nodes as length-prefixed frames on a TCP connection."""
 
 import asyncio
+import collections
 from collections import abc
 import logging
 import socket
@@ -17,6 +18,9 @@
 
 _LENGTH = struct.Struct(">I")
 _USER_TIMEOUT_MS = 3_000
+# Bodies are sent in parts, so that small messages go in between.
+_PART_BYTES = 8 * 1024
+_PAUSE_ABOVE_BYTES = 32 * 1024
 _BACKLOG = 512
 
 
@@ -58,6 +62,10 @@
         self._on_made = on_made
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._bodies_by_id: collections.OrderedDict[str, memoryview] = (
+            collections.OrderedDict()
+        )
+        self._paused = False
 
     @property
     def is_open(self) -> bool:
@@ -75,12 +83,14 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
             )
+        self._transport.set_write_buffer_limits(high=_PAUSE_ABOVE_BYTES)
         if self._on_made is not None:
             self._on_made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner."""
         self._transport = None
+        self._bodies_by_id.clear()
         self.owner.on_lost(self, str(exc or "closed by the peer"))
 
     def data_received(self, data: bytes) -> None:
@@ -107,6 +117,37 @@
             self.owner.on_message(self, message)
         del buffer[:start]
 
+    def pause_writing(self) -> None:
+        """Send no parts of bodies until the peer has read on."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the bodies."""
+        self._paused = False
+        self._send_parts()
+
+    def send_body(self, call_id: str, body: bytes) -> None:
+        """Send a body in parts; several bodies take turns."""
+        self._bodies_by_id[call_id] = memoryview(body)
+        self._send_parts()
+
+    def withdraw_body(self, call_id: str) -> None:
+        """Send no further part of a body."""
+        self._bodies_by_id.pop(call_id, None)
+
+    def _send_parts(self) -> None:
+        while self._bodies_by_id and not self._paused:
+            call_id, rest = self._bodies_by_id.popitem(last=False)
+            part = messages.CallBody(
+                call_id=call_id,
+                data=bytes(rest[:_PART_BYTES]),
+                last=len(rest) <= _PART_BYTES,
+            )
+            if not part.last:
+                self._bodies_by_id[call_id] = rest[_PART_BYTES:]
+            if not self.send(part):
+                return
+
     def send(self, message: messages.Message) -> bool:
         """Send a message; false if the connection has ended."""
         return self.send_encoded(messages.encode(message))
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -220,6 +220,27 @@
                 decision.wait_ms / 1000, self._waited_too_long, running
             )
 
+    def preview(self, call: messages.CallRequest) -> str:
+        """Return why a call would be refused now, empty if it would not."""
+        normal = quarantine.Treatment.NORMAL
+        reason = arrivals.refusal_reason(call, self._target, normal)
+        return reason or self.admission.would_refuse(
+            call.rank, call.route, call.deadline_ms, call.aim_ms, self.now_ms()
+        )
+
+    def turn_away(
+        self, call: messages.CallRequest, reason: str, done: Done
+    ) -> None:
+        """Refuse a call, now and whenever its id comes again."""
+        now_ms = self.now_ms()
+        decision = self.admission.refuse(
+            arrivals.ticket(call),
+            reason,
+            now_ms,
+            self.admission.retry_after_ms(call.rank, now_ms),
+        )
+        self._answer(call, done, arrivals.turned_away(call, decision))
+
     def revoke(self, revoke: messages.CallRevoke, done: Revoked) -> None:
         """Make sure a call never starts, or wait for its end."""
         table = self.admission.table
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -19,6 +19,7 @@
 from arbutusstall._log import roster
 from arbutusstall._log import source as sources
 from arbutusstall._proxy import admin
+from arbutusstall._proxy import bodies
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
@@ -79,14 +80,14 @@
         self._control = control.ControlLoop(
             self.core, _clock.SystemClock(), settings.tick_s
         )
-        bodies = byte_budget.ByteBudget(settings.reads.held_bytes)
+        budget = byte_budget.ByteBudget(settings.reads.held_bytes)
         self.inbound = inbound.Inbound(
             settings,
             surroundings.dialect,
             incarnation,
             self._control.put,
             self.log,
-            bodies,
+            budget,
         )
         self.outbound = outbound.Outbound(
             settings,
@@ -99,7 +100,11 @@
         self._streams = streams.Streams(self._control.put, settings.reads)
         self._acceptor = frames.FrameServer(
             settings.addresses.inbound,
-            streams.Acceptor(self._streams, self.inbound).owner,
+            streams.Acceptor(
+                self._streams,
+                self.inbound,
+                bodies.BodyReceiver(self.inbound, settings.reads, budget),
+            ).owner,
             settings.reads,
         )
         self._log_worker = log_worker.LogWorker(
@@ -109,7 +114,7 @@
             surroundings.source, settings.log, self._control.put_from_thread
         )
         self._callers = http_server.HttpServer(
-            settings.addresses.callers, self.outbound, bodies=bodies
+            settings.addresses.callers, self.outbound, bodies=budget
         )
         self._admin = http_server.HttpServer(
             settings.addresses.admin, admin.Admin(self.core)
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -353,7 +353,8 @@
         limit = running.route.max_attempts or self._settings.calls.attempts
         if running.sends >= limit:
             return False
-        return self._budget(running.call.service).withdraw()
+        budget = self._budget(running.call.service)
+        return budget.withdraw(nested=running.nested)
 
     def _pass_on(self, running: _Running, answer: messages.CallAnswer) -> None:
         target_ms = running.route.target_latency_ms
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -27,6 +27,8 @@
 _CHECK_S = 0.1
 # After a gap between two checks nothing can be said about the peers.
 _PAUSE_S = 0.5
+# Larger bodies are sent when they are asked for.
+_MOST_AT_ONCE_BYTES = 8 * 1024
 
 
 class Peer(Protocol):
@@ -189,6 +191,7 @@
         self._revoked_by_id.pop(call.call_id, None)
         stamp = self._stamps_by_id.pop(call.call_id, None)
         if self._connection is not None and stamp is not None:
+            self._connection.withdraw_body(call.call_id)
             self._connection.send(
                 messages.CallRevoke(
                     call_id=call.call_id,
@@ -244,6 +247,10 @@
             if pending is not None:
                 self.forget(message.call_id)
                 pending.done(message)
+        elif isinstance(message, messages.CallBodyWanted):
+            wanted = self._pending_by_id.get(message.call_id)
+            if wanted is not None:
+                connection.send_body(message.call_id, wanted.call.body)
         elif isinstance(message, messages.CallGreeted):
             self._learn(message.incarnation, message.clock_ms)
             self._greeted.set()
@@ -315,7 +322,12 @@
             incarnation=bound.incarnation,
             sent_ms=bound.at(self._loop.time()),
         )
-        if not connection.send(stamped):
+        offered = stamped
+        if len(call.body) > _MOST_AT_ONCE_BYTES:
+            offered = msgspec.structs.replace(
+                stamped, body=b"", body_bytes=len(call.body)
+            )
+        if not connection.send(offered):
             done(self._unavailable("the connection has ended"))
             return
         self._stamps_by_id[call.call_id] = (
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -7,6 +7,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import bodies
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
 from arbutusstall._wire import messages
@@ -159,21 +160,33 @@
     The first message tells what a connection is for.
     """
 
-    def __init__(self, streams: Streams, proxy: inbound.Inbound) -> None:
+    def __init__(
+        self,
+        streams: Streams,
+        proxy: inbound.Inbound,
+        receiver: bodies.BodyReceiver,
+    ) -> None:
         self._streams = streams
         self._proxy = proxy
+        self._receiver = receiver
 
     def owner(self) -> frames.Owner:
         """Return the owner of a new connection."""
-        return _Caller(self._streams, self._proxy)
+        return _Caller(self._streams, self._proxy, self._receiver)
 
 
 class _Caller:
     """One connection of another node's outbound proxy."""
 
-    def __init__(self, streams: Streams, proxy: inbound.Inbound) -> None:
+    def __init__(
+        self,
+        streams: Streams,
+        proxy: inbound.Inbound,
+        receiver: bodies.BodyReceiver,
+    ) -> None:
         self._streams = streams
         self._proxy = proxy
+        self._receiver = receiver
         self._call_ids: set[str] = set()
 
     def on_message(
@@ -184,10 +197,14 @@
         match message:
             case messages.CallRequest():
                 self._call(connection, message)
+            case messages.CallBody():
+                self._receiver.take(message)
             case messages.CallRevoke(cancel=True):
                 self._call_ids.discard(message.call_id)
+                self._receiver.drop(message.call_id)
                 self._proxy.cancel(message.call_id)
             case messages.CallRevoke():
+                self._receiver.drop(message.call_id)
                 self._proxy.revoke(
                     message, lambda revoked: _reply(connection, revoked)
                 )
@@ -206,7 +223,8 @@
 
     def on_lost(self, connection: frames.FrameConnection, reason: str) -> None:
         for call_id in list(self._call_ids):
-            self._proxy.abandon(call_id)
+            if not self._receiver.drop(call_id):
+                self._proxy.abandon(call_id)
         self._call_ids.clear()
 
     def _call(
@@ -220,7 +238,13 @@
             self._call_ids.discard(call.call_id)
             connection.send(answer)
 
-        self._proxy.submit(call, answered)
+        def want(call_id: str) -> None:
+            connection.send(messages.CallBodyWanted(call_id=call_id))
+
+        if call.body_bytes:
+            self._receiver.offer(call, want, answered)
+        else:
+            self._proxy.submit(call, answered)
 
 
 def _reply(
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -236,6 +236,8 @@
         unsent_bytes: Messages that wait to be sent to another node.
         held_bytes: Bodies that the whole process reads or passes on at
             the same time.
+        bodies: Bodies that other nodes send here at the same time. More
+            would fill the link and delay everything else on it.
     """
 
     overhead_bytes: int = 64 * 1024
@@ -244,6 +246,7 @@
     frame_bytes: int = 24 * 1024 * 1024
     unsent_bytes: int = 8 * 1024 * 1024
     held_bytes: int = 64 * 1024 * 1024
+    bodies: int = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_settings_files.py
+++ b/src/arbutusstall/_settings_files.py
@@ -25,6 +25,7 @@
 )
 _POSITIVE = frozenset(
     {
+        "bodies",
         "chunks_at_once",
         "connections",
         "every_records",
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -148,20 +148,9 @@
         if now_ms - ticket.sent_ms > deadline_ms:
             return self.refuse(ticket, LATE, now_ms)
         place = self._place(rank)
-        ahead = self._queue[:place]
-        expected_ms = self._expected_wait_ms(ahead, rank, now_ms)
         waits = self._must_wait(solo)
-        taken_ms = self._taken_ms(route)
-        patience_ms = min(self._queue_ms, deadline_ms - taken_ms)
-        if aim_ms:
-            spare_ms = aim_ms - _LONG_CALL * taken_ms
-            most_ms = max(spare_ms * _QUEUE_PART, aim_ms * _LEAST_PATIENCE)
-            patience_ms = min(patience_ms, int(most_ms))
-        hopeless = expected_ms > patience_ms and (
-            patience_ms <= 0 or not self._keeps_busy(ahead, rank)
-        )
-        full = len(self._queue) >= self._queue_limit
-        if waits and (hopeless or (full and place == len(self._queue))):
+        patience_ms = self._patience_ms(route, deadline_ms, aim_ms)
+        if waits and self._is_hopeless(rank, patience_ms, now_ms):
             retry_after_ms = self.retry_after_ms(rank, now_ms)
             return self.refuse(ticket, OVERLOAD, now_ms, retry_after_ms)
         refusal = self.table.admit(ticket, now_ms)
@@ -184,6 +173,21 @@
         self._start(ticket.call_id, route, solo, rank, now_ms)
         return Decision(verdict=Verdict.START)
 
+    def would_refuse(
+        self, rank: int, route: str, deadline_ms: int, aim_ms: int, now_ms: int
+    ) -> str:
+        """Return why a request would be refused now, empty if it would not.
+
+        The arguments are those of `begin`.
+        """
+        if self.draining:
+            return DRAINING
+        patience_ms = self._patience_ms(route, deadline_ms, aim_ms)
+        waits = self._must_wait(solo=False)
+        if waits and self._is_hopeless(rank, patience_ms, now_ms):
+            return OVERLOAD
+        return ""
+
     def retry_after_ms(self, rank: int, now_ms: int) -> int:
         """Return the time after which a slot is likely to be free."""
         wait_ms = self._expected_wait_ms(self._queue, rank, now_ms)
@@ -229,6 +233,26 @@
                 started.append(item.call_id)
         return tuple(started)
 
+    def _patience_ms(self, route: str, deadline_ms: int, aim_ms: int) -> int:
+        """Return how long a request may wait for a slot."""
+        taken_ms = self._taken_ms(route)
+        patience_ms = min(self._queue_ms, deadline_ms - taken_ms)
+        if not aim_ms:
+            return patience_ms
+        spare_ms = aim_ms - _LONG_CALL * taken_ms
+        most_ms = max(spare_ms * _QUEUE_PART, aim_ms * _LEAST_PATIENCE)
+        return min(patience_ms, int(most_ms))
+
+    def _is_hopeless(self, rank: int, patience_ms: int, now_ms: int) -> bool:
+        """Tell whether a request that has to wait is refused at once."""
+        place = self._place(rank)
+        if len(self._queue) >= self._queue_limit and place == len(self._queue):
+            return True
+        ahead = self._queue[:place]
+        if self._expected_wait_ms(ahead, rank, now_ms) <= patience_ms:
+            return False
+        return patience_ms <= 0 or not self._keeps_busy(ahead, rank)
+
     def _must_wait(self, solo: bool) -> bool:
         return bool(self._queue) or not self._has_room(solo)
 
--- a/src/arbutusstall/_systems/attempts.py
+++ b/src/arbutusstall/_systems/attempts.py
@@ -7,6 +7,8 @@
 from arbutusstall._wire import messages
 
 _BURST_TOKENS = 10.0
+# Part of the burst that only nested calls may use.
+_KEPT_PART = 0.25
 
 
 class AttemptState(enum.Enum):
@@ -67,9 +69,15 @@
         """Note a request."""
         self._tokens = min(self._burst, self._tokens + self._share)
 
-    def withdraw(self) -> bool:
-        """Take one retry out of the budget, if there is one."""
-        if self._tokens < 1.0:
+    def withdraw(self, *, nested: bool = False) -> bool:
+        """Take one retry out of the budget, if there is one.
+
+        A part of the burst is kept for nested calls: without a retry the
+        work of the request above is lost, while a caller that is told
+        "not run" comes again by itself.
+        """
+        kept = 0.0 if nested else self._burst * _KEPT_PART
+        if self._tokens < 1.0 + kept:
             return False
         self._tokens -= 1.0
         return True
--- a/src/arbutusstall/_wire/call_messages.py
+++ b/src/arbutusstall/_wire/call_messages.py
@@ -26,6 +26,8 @@
         depth: Number of calls above this one in the chain.
         rank: Requests of a lower rank start first.
         aim_ms: Time left to the latency objective; 0 if there is none.
+        body_bytes: Length of a body that is sent when it is asked for;
+            0 if ``body`` holds all of it.
     """
 
     call_id: str
@@ -45,6 +47,19 @@
     depth: int = 0
     rank: int = 0
     aim_ms: int = 0
+    body_bytes: int = 0
+
+
+class CallBody(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A part of a call's body, in order.
+
+    Attributes:
+        last: Whether the body ends with this part.
+    """
+
+    call_id: str
+    data: bytes
+    last: bool = False
 
 
 class CallAnswer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -75,6 +90,13 @@
     taken_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallBodyWanted:
+    """Asks for the body of a call that was sent without it."""
+
+    call_id: str
+
+
 class RevokeState(enum.Enum):
     """What a revocation found."""
 
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -12,6 +12,8 @@
 
 from arbutusstall import errors
 from arbutusstall._wire.call_messages import CallAnswer
+from arbutusstall._wire.call_messages import CallBody
+from arbutusstall._wire.call_messages import CallBodyWanted
 from arbutusstall._wire.call_messages import CallGreeted
 from arbutusstall._wire.call_messages import CallGreeting
 from arbutusstall._wire.call_messages import CallRequest
@@ -43,6 +45,8 @@
 __all__ = [
     "Alive",
     "CallAnswer",
+    "CallBody",
+    "CallBodyWanted",
     "CallGreeted",
     "CallGreeting",
     "CallRequest",
@@ -91,6 +95,8 @@
     | RollbackNotice
     | CallRequest
     | CallAnswer
+    | CallBody
+    | CallBodyWanted
     | CallRevoke
     | CallRevoked
     | CallGreeting
@@ -117,6 +123,8 @@
     "rollbacks": RollbackNotice,
     "call": CallRequest,
     "answer": CallAnswer,
+    "body": CallBody,
+    "body-wanted": CallBodyWanted,
     "revoke": CallRevoke,
     "revoked": CallRevoked,
     "greeting": CallGreeting,
