Send a call that was refused where there is room

A far endpoint costs 0.6 of a call, so near ones are filled until four calls wait at seven slots; admission refuses behind three or four; and the next try paid the same cost, so that all four tries went to near endpoints.

Change: a call that was turned away pays 0.1 for the way.

Measured: the scenario (two calls wait at each near endpoint) failed before.

--- a/features/calls_pressure.feature
+++ b/features/calls_pressure.feature
@@ -72,6 +72,12 @@
     Given a cost balancer with a near endpoint at half speed and a far one
     Then all calls stay near until half as many wait as it has slots
 
+  Scenario: a call that a near endpoint has refused goes where there is room
+    Given a cost balancer over 4 near endpoints and 4 far ones
+    When 2 calls wait at each near endpoint and none runs at the far ones
+    Then a new call goes to a near one
+    And a call that a near one has refused goes to a far one
+
   Scenario: while every endpoint sheds, nested calls get the retries
     Given a retry budget of 15 percent with a burst of 2
     When 10000 calls come, half of them nested, and every second is shed
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -520,3 +520,51 @@
     """The others came close to each other."""
     part = context.retried.total() / context.shed.total()
     assert part >= most / count, (context.retried, context.shed)
+
+
+@behave.given(
+    "a cost balancer over {near:d} near endpoints and {far:d} far ones"
+)
+def near_and_far(context, near, far):
+    """All of the same speed."""
+    rows = [_member(f"near-{number}") for number in range(near)]
+    rows += [_member(f"far-{number}", "svet") for number in range(far)]
+    context.traffic = _Traffic(rows)
+    context.traffic.run(400)
+
+
+@behave.when(
+    "{count:d} calls wait at each near endpoint and none runs at the far ones"
+)
+def near_full(context, count):
+    """By what their last answers told."""
+    traffic = context.traffic
+    for row in traffic.view.members_by_service["kvoty"]:
+        report = balancing.Report(
+            in_flight=8 + count if row.node.startswith("near") else 0,
+            slots=8,
+            route="r",
+            taken_ms=100.0,
+        )
+        traffic.balancer.sent(row.node)
+        traffic.balancer.answered(row.node, report, traffic.now_s)
+
+
+def _chosen(context, tried):
+    traffic = context.traffic
+    row = traffic.balancer.choose(
+        traffic.view, "kvoty", "v1", traffic.now_s, tried
+    )
+    return row.node
+
+
+@behave.then("a new call goes to a near one")
+def goes_near(context):
+    """It waits a little."""
+    assert _chosen(context, frozenset()).startswith("near")
+
+
+@behave.then("a call that a near one has refused goes to a far one")
+def goes_far(context):
+    """The other near ones are as full."""
+    assert _chosen(context, frozenset({"near-0"})).startswith("far")
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -25,6 +25,8 @@
 # Cost of the way to another data centre, as a part of a usual call. It
 # is paid for by the byte, so a call rather waits a little.
 _FAR_COST = 0.6
+# The same for a call that an endpoint has turned away already.
+_FAR_COST_AGAIN = 0.1
 # Endpoints of a service differ in speed; up to this they count as equal.
 _USUAL_SLOWNESS = 2.0
 _SMOOTHING = 0.15
@@ -161,7 +163,7 @@
         found = self._rows(view, service, version)
         if not tried and now_s >= self._calm_from_s:
             drawn = self._draw(found.near) + self._draw(found.far)
-            return sorted(drawn, key=lambda row: self._cost(row, now_s))
+            return self._by_cost(drawn, now_s, _FAR_COST)
         rows = [
             row
             for row in self._staying(found.near + found.far, now_s)
@@ -172,7 +174,8 @@
         drawn = self._some(near, now_s) + self._some(far, now_s)
         if not drawn:
             return rows[:1]
-        return sorted(drawn, key=lambda row: self._cost(row, now_s))
+        far_cost = _FAR_COST_AGAIN if tried else _FAR_COST
+        return self._by_cost(drawn, now_s, far_cost)
 
     def sent(self, node: str) -> None:
         """Note that a call was sent to ``node``."""
@@ -302,7 +305,14 @@
         age_s = max(0.0, now_s - endpoint.reported_s)
         return 1.0 + (endpoint.slowness - 1.0) * math.exp(-age_s / _MEMORY_S)
 
-    def _cost(self, row: members.Member, now_s: float) -> float:
+    def _by_cost(
+        self, rows: list[members.Member], now_s: float, far_cost: float
+    ) -> list[members.Member]:
+        return sorted(rows, key=lambda row: self._cost(row, now_s, far_cost))
+
+    def _cost(
+        self, row: members.Member, now_s: float, far_cost: float
+    ) -> float:
         endpoint = self._get(row.node)
         slots = max(1, endpoint.slots or row.slots)
         reported = endpoint.in_flight
@@ -319,5 +329,5 @@
         failing *= math.exp(-max(0.0, age_s) / _MEMORY_S)
         cost /= math.pow(1.0 - failing, _FAILURE_POWER)
         if row.data_centre != self._data_centre:
-            cost += _FAR_COST
+            cost += far_cost
         return cost
