Invite nodes that restart while the store is out

Cause: a node that starts knows nobody. The settings name no other node, yet its former parent and children know its address.

Ruled out: keeping what it knew on the machine (nothing lasts there), and pushing the configuration to it (a second way for what the tree already does).

Change: whoever loses a link in the tree tells the other end once a second, ten times at most, that it can be a parent; a node without a way to a root then asks it for admission as it would a candidate.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -87,6 +87,23 @@
             assert not dead, (name, dead)
 
 
+@behave.when("a {kind} is killed and starts again after {seconds:d} seconds")
+def killed_and_started(context, kind, seconds):
+    """Under its name and address, with nothing in memory."""
+    made = context.fleet
+    parents = {made.parent(name) for name in made.cores_by_name}
+    roots = set(made.roots())
+    context.name = next(
+        name
+        for name in made.cores_by_name
+        if name not in roots and (name in parents) == (kind == "parent")
+    )
+    settings = made.cores_by_name[context.name].tables.settings
+    made.kill(context.name)
+    made.run(float(seconds))
+    made.add(settings)
+
+
 @behave.when("all roots of {centre} die")
 def kill_roots(context, centre):
     """Kill all roots of a data centre."""
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -52,6 +52,18 @@
     And a node starts that knows two seeds
     Then the new node has the configuration within 10 seconds
 
+  Scenario Outline: a node that restarts while the log is out is invited
+    Given a fast fleet of 30 nodes in lipno that has settled
+    When the fleet's log is out
+    And a <kind> is killed and starts again after <seconds> seconds
+    Then the new node has the configuration within 3 seconds
+
+    Examples:
+      | kind   | seconds |
+      | leaf   | 1       |
+      | parent | 1       |
+      | leaf   | 4       |
+
   Scenario Outline: churn makes no loop and moves only orphans
     Given a fleet of 120 nodes in lipno, svet that has settled
     When 60 nodes die and start again at random with seed <seed>
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -88,6 +88,10 @@
         self._register(stream)
         self._put(_effects.Received(peer=hello.node, message=hello))
 
+    def invited(self, hello: messages.Hello) -> None:
+        """Hand an invitation on; its connection is no link."""
+        self._put(_effects.Received(peer=hello.node, message=hello))
+
     def disconnect(self, effect: _effects.Disconnect) -> None:
         """Close the stream to a peer after what was sent to it."""
         stream = self._streams_by_peer.pop(effect.peer, None)
@@ -210,6 +214,9 @@
                 )
             case messages.CallGreeting():
                 connection.send(self._proxy.greet())
+            case messages.Hello(invite=True):
+                self._streams.invited(message)
+                connection.close()
             case messages.Hello():
                 self._streams.accept(connection, message)
             case _:
--- a/src/arbutusstall/_shell/relay.py
+++ b/src/arbutusstall/_shell/relay.py
@@ -203,6 +203,10 @@
         if hello is None:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, "hello expected")
             return
+        if hello.invite:
+            # The stream is no link and ends here.
+            self._loop.put(_effects.Received(peer=hello.node, message=hello))
+            return
         stream = _Stream(hello.node)
         stream.cancel = context.cancel
         self._register(stream)
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -11,6 +11,7 @@
 from arbutusstall._systems import admit
 from arbutusstall._systems import attach
 from arbutusstall._systems import distribution
+from arbutusstall._systems import invitations
 from arbutusstall._systems import membership
 from arbutusstall._systems import progress
 from arbutusstall._systems import root_claims
@@ -37,6 +38,7 @@
     effects = _drop_silent(tables, now)
     effects += _follow_parent(tables, now)
     effects += attach.run(tables, now)
+    effects += invitations.run(tables, now)
     effects += _heartbeat(tables, now)
     return effects
 
@@ -57,6 +59,9 @@
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Admit a child or another root, or turn it away."""
+    if message.invite:
+        invitations.on_invited(tables, message, now)
+        return []
     refusal = admit.refusal(tables, message, now)
     if refusal is not None:
         tables.links_by_peer.pop(peer, None)
@@ -213,6 +218,7 @@
     if link is None:
         return []
     progress.changed(tables, now)
+    invitations.on_lost(tables, link, now)
     if link.role is not links.LinkRole.CHILD:
         attach.avoid(tables, link.address, now)
     if link.role is not links.LinkRole.PARENT:
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -22,6 +22,20 @@
     renewed: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Invitation:
+    """A node that may have started again.
+
+    Attributes:
+        due_s: Monotonic time at which it is invited next.
+        tries: Invitations that were sent.
+    """
+
+    node: str
+    due_s: float
+    tries: int = 0
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RelayTable:
     """What the tree and position systems keep; changed only by them.
@@ -36,6 +50,7 @@
         moving_from: Parent that asked this node to move away.
         candidates: Addresses to ask for admission, best first.
         asked: Addresses that were asked since the list was made.
+        invitations_by_address: Nodes whose links were lost lately.
         rounds: Candidate lists that were used up without success.
         attach_began_s: When the running attempt to attach began.
         tokens: Joiners that may be admitted now.
@@ -68,6 +83,9 @@
     moving_from: str = ""
     candidates: list[str] = dataclasses.field(default_factory=list)
     asked: set[str] = dataclasses.field(default_factory=set)
+    invitations_by_address: dict[str, Invitation] = dataclasses.field(
+        default_factory=dict
+    )
     rounds: int = 0
     attach_began_s: float = 0.0
     tokens: float = 0.0
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -21,6 +21,7 @@
         root: Whether the sender is a root that links to another.
         label: Position in the tree if the sender has children, else -1.
         tier: Level that suits the sender; roots admit the first only.
+        invite: Whether the sender only tells that it can be a parent.
     """
 
     node: str
@@ -31,6 +32,7 @@
     root: bool = False
     label: int = -1
     tier: int = 1
+    invite: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
