Refuse uploads that would wait too long for the link

Change: a node measures how fast bodies come and refuses an offer at once whose turn would come too late, with the expected wait as Retry-After. Bodies that are still to come count as load in what callers are told, so that they choose other targets.

Measured: a scenario without network.

--- a/features/calls_bodies.feature
+++ b/features/calls_bodies.feature
@@ -8,6 +8,13 @@
     And as bodies end, those of rank 1 come before the last of rank 2
     And a body that is withdrawn is never asked for
 
+  Scenario: a body that would wait too long is refused when it is offered
+    Given 2 bodies may be on their way at the same time
+    When bodies of 60000 bytes come at 1000 bytes a ms for 3 seconds
+    And 10 more are offered at once
+    Then the last of them is expected to wait for 500 to 700 ms
+    And one of a lower rank for less than 100 ms
+
   Scenario: a body arrives whole and once
     Given two nodes and a target for uploads
     When 6 bodies of 300000 bytes are sent at the same time
--- a/features/steps/bodies_steps.py
+++ b/features/steps/bodies_steps.py
@@ -54,7 +54,8 @@
     context.asked = []
     for name in ("low-0", "low-1", "low-2", "high-0", "high-1"):
         rank = 1 if name.startswith("high") else 2
-        context.asked += context.transfers.offer(name, rank)
+        body = transfers.Body(call_id=name, rank=rank, size=1_000)
+        context.asked += context.transfers.offer(body, 0)
 
 
 @behave.then("the first 2 of rank 2 are asked for")
@@ -66,7 +67,10 @@
 @behave.then("as bodies end, those of rank 1 come before the last of rank 2")
 def in_order(context):
     """One for each that ends."""
-    ended = [context.transfers.end(name) for name in ("low-0", "low-1")]
+    ended = [
+        context.transfers.end(name, 1, come=True)
+        for name in ("low-0", "low-1")
+    ]
     assert ended == [("high-0",), ("high-1",)], ended
     assert context.transfers.running == 2
 
@@ -74,11 +78,50 @@
 @behave.then("a body that is withdrawn is never asked for")
 def withdrawn(context):
     """It was the only one that waited."""
-    assert context.transfers.end("low-2") == ()
-    assert context.transfers.end("high-0") == ()
+    assert context.transfers.end("low-2", 1, come=False) == ()
+    assert context.transfers.end("high-0", 1, come=True) == ()
     assert context.transfers.running == 1
 
 
+def _upload(name, rank=2):
+    return transfers.Body(call_id=name, rank=rank, size=60_000)
+
+
+@behave.when(
+    "bodies of 60000 bytes come at 1000 bytes a ms for {seconds:d} seconds"
+)
+def bodies_come(context, seconds):
+    """One after the other; each is 60 ms on its way."""
+    moved = context.transfers
+    context.now_ms = 0
+    while context.now_ms < seconds * 1_000:
+        moved.offer(_upload("one"), context.now_ms)
+        context.now_ms += 60
+        moved.end("one", context.now_ms, come=True)
+
+
+@behave.when("{count:d} more are offered at once")
+def more_offered(context, count):
+    """All of rank 2."""
+    for number in range(count):
+        body = _upload(f"more-{number}")
+        context.transfers.offer(body, context.now_ms)
+
+
+@behave.then(
+    "the last of them is expected to wait for {least:d} to {most:d} ms"
+)
+def expected_wait(context, least, most):
+    """Eight wait before it, two are on their way."""
+    assert least <= context.transfers.wait_ms(2) <= most
+
+
+@behave.then("one of a lower rank for less than {most:d} ms")
+def urgent_wait(context, most):
+    """It waits for those on their way only."""
+    assert 0 < context.transfers.wait_ms(1) < most
+
+
 class _UploadTarget(asyncio.Protocol):
     """Reads requests with a length and answers each after a while."""
 
--- a/src/arbutusstall/_proxy/bodies.py
+++ b/src/arbutusstall/_proxy/bodies.py
@@ -72,6 +72,11 @@
             self._proxy.turn_away(call, refusal, done)
             return
         left_ms = call.aim_ms or call.deadline_ms
+        wait_ms = self._transfers.wait_ms(call.rank)
+        if wait_ms > left_ms * _WAIT_PART:
+            reason = admission.OVERLOAD
+            self._proxy.turn_away(call, reason, done, wait_ms)
+            return
         self._offers_by_id[call.call_id] = _Offer(
             call=call,
             done=done,
@@ -82,7 +87,11 @@
                 left_ms * _WAIT_PART / 1000, self._waited, call.call_id
             ),
         )
-        self._ask(self._transfers.offer(call.call_id, call.rank))
+        body = transfers.Body(
+            call_id=call.call_id, rank=call.rank, size=call.body_bytes
+        )
+        self._ask(self._transfers.offer(body, self._proxy.now_ms()))
+        self._note_known()
 
     def take(self, part: messages.CallBody) -> None:
         """Add a part of a body; the call is submitted with the last."""
@@ -97,16 +106,25 @@
         elif part.last:
             self._complete(offer)
 
-    def drop(self, call_id: str) -> bool:
-        """Forget a call whose body has not come; false if it is none."""
+    def drop(self, call_id: str, *, come: bool = False) -> bool:
+        """Forget a call with its body; false if there is none.
+
+        Args:
+            come: Whether all of the body has come.
+        """
         offer = self._offers_by_id.pop(call_id, None)
         if offer is None:
             return False
         offer.timer.cancel()
         offer.share.release()
-        self._ask(self._transfers.end(call_id))
+        now_ms = self._proxy.now_ms()
+        self._ask(self._transfers.end(call_id, now_ms, come=come))
+        self._note_known()
         return True
 
+    def _note_known(self) -> None:
+        self._proxy.admission.announced = self._transfers.known
+
     def _ask(self, call_ids: abc.Iterable[str]) -> None:
         for call_id in call_ids:
             offer = self._offers_by_id[call_id]
@@ -122,7 +140,7 @@
         if len(offer.body) != call.body_bytes:
             self._refuse(call.call_id, INCOMPLETE)
             return
-        self.drop(call.call_id)
+        self.drop(call.call_id, come=True)
         spent_ms = int((self._loop.time() - offer.arrived_s) * 1000)
         whole = msgspec.structs.replace(
             call,
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -172,7 +172,7 @@
         return messages.CallGreeted(
             incarnation=self.incarnation,
             clock_ms=self.now_ms(),
-            in_flight=self.admission.in_flight + self.admission.queued,
+            in_flight=self.admission.load,
             slots=self.admission.slots,
         )
 
@@ -229,15 +229,22 @@
         )
 
     def turn_away(
-        self, call: messages.CallRequest, reason: str, done: Done
+        self,
+        call: messages.CallRequest,
+        reason: str,
+        done: Done,
+        busy_ms: int = 0,
     ) -> None:
-        """Refuse a call, now and whenever its id comes again."""
+        """Refuse a call, now and whenever its id comes again.
+
+        Args:
+            busy_ms: Time for which something else than the slots is not
+                free; the caller is asked not to come before.
+        """
         now_ms = self.now_ms()
+        retry_after_ms = self.admission.retry_after_ms(call.rank, now_ms)
         decision = self.admission.refuse(
-            arrivals.ticket(call),
-            reason,
-            now_ms,
-            self.admission.retry_after_ms(call.rank, now_ms),
+            arrivals.ticket(call), reason, now_ms, max(retry_after_ms, busy_ms)
         )
         self._answer(call, done, arrivals.turned_away(call, decision))
 
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -79,6 +79,9 @@
 
     Not thread-safe. Times are milliseconds on one monotonic clock.
 
+    Attributes:
+        announced: Requests whose bodies are still on their way.
+
     Args:
         table: Decides which ids may run at all.
         slots: Requests that the target runs at once.
@@ -96,6 +99,7 @@
         self.table = table
         self.slots = slots
         self.draining = False
+        self.announced = 0
         self._queue_limit = queue
         self._queue_ms = queue_ms
         self._started_by_id: dict[str, _Started] = {}
@@ -115,6 +119,11 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def load(self) -> int:
+        """Number of requests at the target and on their way to it."""
+        return len(self._started_by_id) + len(self._queue) + self.announced
+
     @property
     def running_ids(self) -> tuple[str, ...]:
         """Ids of the requests at the target."""
--- a/src/arbutusstall/_systems/arrivals.py
+++ b/src/arbutusstall/_systems/arrivals.py
@@ -73,7 +73,7 @@
     """
     return msgspec.structs.replace(
         answer,
-        in_flight=slots.in_flight + slots.queued,
+        in_flight=slots.load,
         slots=slots.slots,
         incarnation=slots.table.incarnation,
         clock_ms=clock_ms,
