--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -21,6 +21,7 @@
     "moves",
     "move_slopes",
     "calls",
+    "loop_calls",
     "fencing",
     "fold",
     "slopes",
