Stop a body when its call is answered; refuse a second offer

Found in the read-through: a node that refused a call halfway through its body (its target drains, the body does not fit) got the rest all the same; a call offered twice would have replaced the first offer and left its timer. Now the answer ends the sending, each part is checked against a drain, and of two offers of one id neither runs: the second is answered unknown, the first not run.

--- a/features/calls_bodies.feature
+++ b/features/calls_bodies.feature
@@ -53,6 +53,13 @@
       | says more than it sends      | not run |
       | sends more than it says      | not run |
       | takes longer than it has     | not run |
+      | offers it twice              | unknown |
+
+  Scenario: no part of a body follows after its call was answered
+    Given two nodes and a target for uploads
+    When the target drains while a body of 4000000 bytes is on its way
+    Then it is answered not run for "draining"
+    And less than 2000000 bytes went to the other node
 
   Scenario: the time that a body takes is taken off the deadline
     Given two nodes and a target for uploads
--- a/features/steps/bodies_steps.py
+++ b/features/steps/bodies_steps.py
@@ -1,7 +1,6 @@
 """Steps for large bodies between nodes, over real connections."""
 
 import asyncio
-import contextlib
 import socket
 
 import behave
@@ -284,6 +283,40 @@
     assert 0 < context.nodes.most_running <= count
 
 
+def _count_sent(connection):
+    sent = []
+    write = connection._transport.write
+
+    def counted(data):
+        sent.append(len(data))
+        write(data)
+
+    connection._transport.write = counted
+    return sent
+
+
+@behave.when("the target drains while a body of {size:d} bytes is on its way")
+def drains_meanwhile(context, size):
+    """After its first parts."""
+
+    async def work(nodes):
+        await nodes.send("warm", b"")
+        connection = nodes.peer._connection
+        sock = connection._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8_192)
+        sent = _count_sent(connection)
+        sending = asyncio.ensure_future(nodes.send("r0", _body(0, size)))
+        while sum(sent) < 100_000:
+            await asyncio.sleep(0)
+        nodes.inbound.admission.draining = True
+        answer = await sending
+        await asyncio.sleep(0.2)
+        context.sent_bytes = sum(sent)
+        return answer
+
+    context.answer = _run(context, work)
+
+
 @behave.when("the target {state} and a body of {size:d} bytes is sent")
 def refused_body(context, state, size):
     """Count what the sender writes."""
@@ -297,14 +330,7 @@
             nodes.inbound.admission._queue_limit = 0
         else:
             nodes.inbound._target = None
-        sent = []
-        connection = nodes.peer._connection
-        write = connection._transport.write
-        with contextlib.suppress(AttributeError):
-            connection._transport.write = lambda data: (
-                sent.append(len(data)),
-                write(data),
-            )
+        sent = _count_sent(nodes.peer._connection)
         answer = await nodes.send("r0", _body(0, size), aim_ms=100)
         context.sent_bytes = sum(sent)
         return answer
@@ -472,6 +498,21 @@
     return "not run" if answer.not_run else answer
 
 
+async def _twice(nodes):
+    first, connection = await _offer(nodes, 1_000)
+    second = _RawSender()
+    other = await frames.connect(nodes.address, second, _READS, 1.0)
+    other.send(
+        msgspec.structs.replace(
+            _CALL, call_id="r0", request_id="r0", body_bytes=1_000
+        )
+    )
+    answer = await second.until(messages.CallAnswer)
+    connection.send(_part(b"x" * 1_000, last=True))
+    assert (await first.until(messages.CallAnswer)).not_run
+    return "unknown" if answer.unknown else answer
+
+
 async def _too_long(nodes):
     sender, connection = await _offer(nodes, 1_000, deadline_ms=300)
     connection.send(_part(b"x" * 500))
@@ -493,6 +534,7 @@
             nodes, 1_000, 1_100
         ),
         "takes longer than it has": _too_long,
+        "offers it twice": _twice,
     }[what]
     context.outcome_seen = _run(context, work)
 
--- a/src/arbutusstall/_proxy/bodies.py
+++ b/src/arbutusstall/_proxy/bodies.py
@@ -15,6 +15,7 @@
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import inbound
 from arbutusstall._systems import admission
+from arbutusstall._systems import revocation
 from arbutusstall._systems import transfers
 from arbutusstall._wire import messages
 
@@ -68,6 +69,9 @@
             done: Called once with the answer.
         """
         refusal = self._proxy.preview(call)
+        if call.call_id in self._offers_by_id:
+            # Of the two at most one may run; neither does.
+            refusal = revocation.DUPLICATE
         if refusal:
             self._proxy.turn_away(call, refusal, done)
             return
@@ -99,7 +103,9 @@
         if offer is None:
             return
         offer.body += part.data
-        if not offer.share.take(len(part.data)):
+        if self._proxy.admission.draining:
+            self._refuse(part.call_id, admission.DRAINING)
+        elif not offer.share.take(len(part.data)):
             self._refuse(part.call_id, NO_ROOM)
         elif len(offer.body) > offer.call.body_bytes:
             self._refuse(part.call_id, INCOMPLETE)
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -245,6 +245,7 @@
             pending = self._pending_by_id.pop(message.call_id, None)
             self._learn(message.incarnation, message.clock_ms)
             if pending is not None:
+                connection.withdraw_body(message.call_id)
                 self.forget(message.call_id)
                 pending.done(message)
         elif isinstance(message, messages.CallBodyWanted):
