Give a suspect peer up when nothing waits for it

Found in the read-through: a peer was watched only while calls waited for it. Since suspects get no new calls, one whose calls had timed out stayed suspect with its connection open, and its endpoint was avoided for good (until the kernel gave the connection up, where it does).

Change: a suspect is watched on.

--- a/features/calls_links.feature
+++ b/features/calls_links.feature
@@ -70,3 +70,8 @@
     Given an outbound proxy that knows 1 endpoints of which 0 are dead
     When 5 requests are sent in 1 seconds
     Then each is answered by a living endpoint at once
+
+  Scenario: a suspect peer is given up although its calls have timed out
+    Given a peer that was sent a call and has not answered a ping
+    When the call is cancelled and a second passes
+    Then its connection is given up, so that a new one can be opened
--- a/features/steps/outbound_steps.py
+++ b/features/steps/outbound_steps.py
@@ -7,11 +7,15 @@
 import fleet
 
 from arbutusstall import _effects
+from arbutusstall import settings
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import outbound
+from arbutusstall._proxy import peers
 from arbutusstall._shell import events
+from arbutusstall._systems import estimate
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
+from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 
 _AT_ONCE_S = 0.1
@@ -87,13 +91,13 @@
 
 def _send(context, count, seconds, silence=False):
     async def work():
-        settings = fleet.settings(0, "lipno")
+        node = fleet.settings(0, "lipno")
         proxy = outbound.Outbound(
-            settings,
+            node,
             dialect.PlatformDialect("vazeni"),
             context.fakes,
             lambda request_id: False,
-            events.EventLog(settings),
+            events.EventLog(node),
             "call",
         )
         proxy.put_in_force(_effects.PutInForce(view=context.outbound_view))
@@ -151,3 +155,73 @@
     for peer in dead:
         assert peer.calls == 0, peer
         assert context.fakes.prepared[peer.node] <= count, peer
+
+
+class _SilentConnection:
+    """Open, and never heard of again."""
+
+    def __init__(self):
+        self.heard_s = 0.0
+        self.is_open = True
+        self.sent = []
+
+    def send(self, message):
+        """Keep it."""
+        self.sent.append(message)
+        return True
+
+    def withdraw_body(self, call_id):
+        """There is none."""
+
+    def abort(self):
+        """End."""
+        self.is_open = False
+
+
+@behave.given("a peer that was sent a call and has not answered a ping")
+def silent_peer(context):
+    """Times are the loop's, from the call on."""
+
+    async def work():
+        peer = peers.RemotePeer("n0", "10.0.0.1:1", settings.ReadSettings())
+        connection = _SilentConnection()
+        connection.heard_s = now_s = asyncio.get_running_loop().time()
+        peer._connection = connection
+        peer._bound = estimate.tighten(None, 1, 0, now_s)
+        call = messages.CallRequest(
+            call_id="c",
+            request_id="r",
+            incarnation=1,
+            sent_ms=0,
+            service=_SERVICE,
+            version="v1",
+            route="/x/",
+            method="GET",
+            path="/x/",
+            headers=(),
+            body=b"",
+            deadline_ms=500,
+            idempotent=True,
+        )
+        peer.call(call, lambda result: None)
+        peer.check(now_s + 0.3)
+        assert not peer.is_ready
+        peer.cancel(call)
+        return peer, connection, now_s
+
+    context.silent = asyncio.run(work())
+
+
+@behave.when("the call is cancelled and a second passes")
+def second_passes(context):
+    """Nothing waits for the peer any more."""
+    peer, _, now_s = context.silent
+    assert peer.is_idle
+    peer.check(now_s + 1.3)
+
+
+@behave.then("its connection is given up, so that a new one can be opened")
+def connection_given_up(context):
+    """It would stay suspect otherwise."""
+    _, connection, _ = context.silent
+    assert not connection.is_open
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -208,7 +208,10 @@
     def check(self, now_s: float) -> None:
         """Ask a silent peer for a sign of life, or give it up."""
         connection = self._connection
-        if connection is None or self.is_idle:
+        if connection is None:
+            return
+        suspect = self._silence.is_suspect(connection.heard_s)
+        if self.is_idle and not suspect:
             return
         step = self._silence.check(connection.heard_s, now_s)
         if step is silence.Step.PING:
