Keep the link to a parent that wakes; invite beside links

Cause: the root found two hellos of the child in its sockets and sent two welcomes; the child closed the stream at the second one but kept the link. The silence of the link would have shown it 1.5 s later, but the root, which had no link, invited the child once a second for ten seconds, and each invitation counted as a sign of life of the link.

Change: a second welcome of the parent changes nothing; an invitation is no sign of life.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -198,6 +198,40 @@
     assert core.tables.relay.label == context.label
 
 
+@behave.then("it keeps a parent that welcomes it twice")
+def keeps_parent(context):
+    """As after two hellos that lay in the parent's sockets."""
+    core, _ = _welcomed(context, context.label - 1)
+    welcome = messages.Welcome(node="parent", label=context.label - 1)
+    again = protocols.Received(peer="parent", message=welcome)
+    effects = core.handle(again, _NOW)
+    assert protocols.Disconnect(peer="parent") not in effects, effects
+    assert "parent" in core.tables.links_by_peer
+
+
+@behave.then("it drops a silent parent that goes on inviting it")
+def drops_inviting_parent(context):
+    """It says so because it has no link to this node."""
+    core, _ = _welcomed(context, context.label - 1)
+    invitation = messages.Hello(
+        node="parent",
+        data_centre="lipno",
+        address="10.1.1.3:1",
+        version=1,
+        digest="",
+        invite=True,
+    )
+    event = protocols.Received(peer="parent", message=invitation)
+    silent_s = core.tables.settings.relay.silent_s
+    mono_s = _NOW.mono_s
+    while mono_s < _NOW.mono_s + silent_s + 1.0:
+        mono_s += 0.5
+        now = _clock.Instant(mono_s=mono_s, wall_s=mono_s)
+        core.handle(event, now)
+        core.tick(now)
+    assert "parent" not in core.tables.links_by_peer
+
+
 @behave.when("a node starts that knows two seeds")
 def start_with_seeds(context):
     """Start a node with the relay addresses of two others."""
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -84,6 +84,14 @@
     And it leaves a parent that turns out to have label 2
     And it accepts a parent that turns out to have label 1
 
+  Scenario: a second welcome of the parent does not end the link
+    Given a node with label 2 and a child
+    Then it keeps a parent that welcomes it twice
+
+  Scenario: an invitation is no sign of life of a link
+    Given a node with label 2 and a child
+    Then it drops a silent parent that goes on inviting it
+
   Scenario: a parent that goes silent is replaced
     Given a fleet of 60 nodes in lipno that has settled
     When the link of a child to its parent goes silent
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -136,7 +136,11 @@
     def _receive(
         self, event: _effects.Received, now: _clock.Instant
     ) -> list[_effects.Effect]:
-        if event.peer in self.tables.links_by_peer:
+        # An invitation comes beside a link and says nothing of it.
+        invited = isinstance(event.message, messages.Hello) and (
+            event.message.invite
+        )
+        if event.peer in self.tables.links_by_peer and not invited:
             self.tables.relay.heard_s_by_peer[event.peer] = now.mono_s
         handler = _MESSAGE_HANDLERS.get(type(event.message))
         if handler is None:
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -112,7 +112,11 @@
     state.heard_s_by_peer[peer] = now.mono_s
     if tables.is_root:
         return _link_root(tables, peer, address, message, now)
-    if attach.parent(tables) is not None and not state.moving_from:
+    parent = attach.parent(tables)
+    if parent is not None and parent.peer == peer:
+        # The parent found two hellos of this node when it woke.
+        return []
+    if parent is not None and not state.moving_from:
         return [_effects.Disconnect(peer=peer)]
     if not attach.fits(tables, message.label):
         return [_effects.Disconnect(peer=peer)]
