Connect to several endpoints when none is connected

Change: if no candidate has a connection, connections to all candidates are opened together and the first that opens gets the call. A request that was never sent is now refused at its deadline instead of answered with an unknown outcome. The choice of an endpoint moves from outbound.py to endpoint_choice.py.

--- a/features/calls_links.feature
+++ b/features/calls_links.feature
@@ -61,6 +61,21 @@
     Then each is answered by a live endpoint within 100 ms
     And the dead ones were tried at most 4 times each, never by a request
 
+  Scenario: the first request after a restart meets mostly dead endpoints
+    # Pattern: all nodes restart together, and the roster still lists
+    # endpoints that left meanwhile.
+    Given an outbound proxy that knows 6 endpoints of which 3 are dead
+    When 40 requests are sent in 1 seconds
+    Then each is answered by a live endpoint within 100 ms
+    And the dead ones were tried at most 4 times each, never by a request
+
+  Scenario: a request that reaches no endpoint is refused as not run
+    # Pattern: all endpoints of a service are unreachable. A request may
+    # not be held until its deadline, which is 1 s here.
+    Given an outbound proxy that knows 6 endpoints of which 6 are dead
+    When 4 requests are sent in 1 seconds
+    Then each is refused with a time to retry within 300 ms
+
   Scenario: an endpoint that owes a sign of life gets no new call
     Given an outbound proxy that knows 2 endpoints of which 0 are dead
     When one of them goes silent and 50 requests are sent
--- a/features/steps/outbound_steps.py
+++ b/features/steps/outbound_steps.py
@@ -159,6 +159,16 @@
         assert context.fakes.prepared[peer.node] <= count, peer
 
 
+@behave.then("each is refused with a time to retry within {milliseconds:d} ms")
+def all_refused(context, milliseconds):
+    """Check that every request got a truthful refusal before its deadline."""
+    for response in context.responses:
+        assert response.status == 503, response
+        names = {name.lower() for name, _ in response.headers}
+        assert "retry-after" in names, response
+    assert context.longest_s < milliseconds / 1000, context.longest_s
+
+
 class _SilentConnection:
     """An open connection on which nothing is received."""
 
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -13,6 +13,7 @@
 from arbutusstall import errors
 from arbutusstall._proxy import call_log
 from arbutusstall._proxy import dialects
+from arbutusstall._proxy import endpoint_choice
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import inbound
@@ -21,7 +22,6 @@
 from arbutusstall._shell import events
 from arbutusstall._systems import admission
 from arbutusstall._systems import attempts
-from arbutusstall._systems import balancing
 from arbutusstall._systems import caller_waits
 from arbutusstall._systems import routing
 from arbutusstall._tables import agreed
@@ -32,28 +32,22 @@
 NO_CONFIGURATION = "no configuration yet"
 NO_ROUTE = "no route"
 TOO_DEEP = "too deep"
+UNREACHABLE = "no endpoint is reachable"
 TIMED_OUT = "no answer in time"
 
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
-_SERVER_ERROR = 500
 # An answer that arrives shortly after the deadline is still passed on.
 _LATE_ANSWER_GRACE_S = 0.12
 # Attempts that were refused before they reached a target cost no endpoint
 # any work. They have this limit of their own and use no retry budget.
 _MAX_REFUSALS = 3
 _NO_ENDPOINT_RETRY_MS = 300
+# After this time without a connection to any endpoint, a request is
+# refused rather than held while further endpoints are tried.
+_MAX_CONNECT_MS = 200
 # Nested calls go before all others, since refusing one would waste the
 # work of the request above it.
 _NESTED_RANK = -1
-# Refusals that take the endpoint out of balancing.
-_OUT_OF_SERVICE_REASONS = frozenset(
-    {
-        admission.DRAINING,
-        admission.NO_TARGET,
-        admission.UNREACHABLE,
-        admission.WRONG_VERSION,
-    }
-)
 # Lost calls that are not retried, since the caller no longer waits.
 _NOT_RETRYABLE_REASONS = frozenset({admission.LATE, inbound.CANCELLED})
 # Refusals that a target gave itself; they count as attempts.
@@ -65,6 +59,11 @@
     reason=NO_ENDPOINT,
     retry_after_ms=_NO_ENDPOINT_RETRY_MS,
 )
+_UNREACHABLE_ATTEMPT = attempts.Attempt(
+    state=attempts.AttemptState.NOT_RUN,
+    reason=UNREACHABLE,
+    retry_after_ms=_NO_ENDPOINT_RETRY_MS,
+)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -131,7 +130,9 @@
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random()
         self._view = _effects.View()
-        self._balancer = balancing.Balancer(settings.data_centre, self._rng)
+        self._choice = endpoint_choice.EndpointChoice(
+            settings.data_centre, peers, self._rng
+        )
         self._caller_waits = caller_waits.CallerWaits()
         self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
         self._numbers = itertools.count(1)
@@ -151,7 +152,7 @@
         """Route new calls by the effect's view."""
         view = effect.view
         self._view = view
-        self._balancer.update_endpoints(view, self._loop.time())
+        self._choice.update_endpoints(view)
         self._peers.keep_only(
             {
                 row.node
@@ -237,62 +238,69 @@
 
         Fails the request if no endpoint or no time is left.
         """
-        call = running.call
-        version = routing.choose_version(self._view, call.service, self._rng)
-        member = self._choose(running, version) if version else None
+        service = running.call.service
+        version = routing.choose_version(self._view, service, self._rng)
+        running.member = running.peer = None
+        if version is None or self._loop.time() >= running.end_s:
+            self._give_up(running, running.last or _NO_ENDPOINT_ATTEMPT)
+            return
+        self._choice.choose(
+            self._view,
+            service,
+            version,
+            running.tried_nodes,
+            lambda choice: self._on_choice(running, version, choice),
+        )
+
+    def _on_choice(
+        self,
+        running: _RunningRequest,
+        version: str,
+        choice: endpoint_choice.Choice,
+    ) -> None:
+        if running.ended:
+            return
         left_ms = int((running.end_s - self._loop.time()) * 1000)
-        if version is None or member is None or left_ms <= 0:
+        if choice.member is not None and left_ms > 0:
+            self._send(running, version, choice.member, left_ms)
+            return
+        if not choice.unreachable:
             self._give_up(running, running.last or _NO_ENDPOINT_ATTEMPT)
             return
+        running.tried_nodes |= choice.unreachable
+        running.refusals += 1
+        running.last = running.last or _UNREACHABLE_ATTEMPT
+        is_brief = self._elapsed_ms(running) < _MAX_CONNECT_MS
+        if is_brief and running.refusals <= _MAX_REFUSALS:
+            self._attempt(running)
+            return
+        self._give_up(running, running.last)
+
+    def _send(
+        self,
+        running: _RunningRequest,
+        version: str,
+        member: members.Member,
+        left_ms: int,
+    ) -> None:
         running.sends += 1
         running.member = member
         running.peer = self._peers.get(member)
         running.call = msgspec.structs.replace(
-            call,
+            running.call,
             call_id=f"{self._prefix}-{next(self._numbers):x}",
             version=version,
             deadline_ms=left_ms,
             aim_ms=self._aim_ms(running),
         )
         running.tried_nodes.add(member.node)
-        self._balancer.record_sent(member.node)
+        self._choice.record_sent(member.node)
         call_id = running.call.call_id
         running.peer.call(
             running.call,
             lambda result: self._on_result(running, call_id, result),
         )
 
-    def _choose(
-        self, running: _RunningRequest, version: str
-    ) -> members.Member | None:
-        """Return the endpoint to send to, None if there is none.
-
-        If the best endpoint has no open connection, one is opened in the
-        background and the call goes to the next best endpoint that has
-        one. A call waits for a connection, which may fail to open, only
-        if no candidate has one.
-        """
-        found = self._balancer.candidates(
-            self._view,
-            running.call.service,
-            version,
-            self._loop.time(),
-            running.tried_nodes,
-        )
-        if not found:
-            return None
-        best = found[0]
-        if self._peers.is_ready(best):
-            return best
-        ready = [row for row in found[1:] if self._peers.is_ready(row)]
-        if not ready:
-            return best
-        self._peers.prepare(best, lambda: self._on_connect_failed(best.node))
-        return ready[0]
-
-    def _on_connect_failed(self, node: str) -> None:
-        self._balancer.record_unreachable(node, self._loop.time())
-
     def _on_result(
         self,
         running: _RunningRequest,
@@ -305,16 +313,16 @@
         if running.ended:
             return
         if isinstance(result, messages.CallAnswer):
-            self._report_load(member, running.call.route, result)
+            self._choice.record_answer(member.node, running.call.route, result)
             self._decide(running, _attempt_from_answer(running.call, result))
         elif isinstance(result, errors.PeerUnavailable):
-            self._report_failure(member, unreachable=True)
+            self._choice.record_failure(member.node, unreachable=True)
             attempt = attempts.Attempt(
                 state=attempts.AttemptState.NOT_RUN, reason=result.reason
             )
             self._decide(running, attempt)
         else:
-            self._report_failure(member, unreachable=False)
+            self._choice.record_failure(member.node, unreachable=False)
             self._resolve_lost_call(running, result)
 
     def _resolve_lost_call(
@@ -415,8 +423,10 @@
             return
         if running.peer is not None:
             running.peer.cancel(running.call)
-        if running.member is not None:
-            self._balancer.record_released(running.member.node)
+        if running.member is None:
+            self._give_up(running, running.last or _UNREACHABLE_ATTEMPT)
+            return
+        self._choice.record_released(running.member.node)
         self._end_failed(
             running,
             attempts.Step.REPORT_UNKNOWN,
@@ -432,7 +442,7 @@
         if running.peer is not None:
             running.peer.cancel(running.call)
         if running.member is not None:
-            self._balancer.record_released(running.member.node)
+            self._choice.record_released(running.member.node)
         self._finish(running, "cancelled")
 
     def _end_failed(
@@ -496,33 +506,6 @@
         )
         exchange.answer(self._dialect.failure(failure))
 
-    def _report_load(
-        self, member: members.Member, route: str, answer: messages.CallAnswer
-    ) -> None:
-        if answer.not_run in _OUT_OF_SERVICE_REASONS:
-            self._report_failure(member, unreachable=True)
-            return
-        if answer.unknown:
-            self._report_failure(member, unreachable=False)
-            return
-        # A server error may stem from a call that the target made itself.
-        # It raises the endpoint's cost but does not eject the endpoint.
-        report = balancing.AnswerReport(
-            in_flight=answer.in_flight,
-            slots=answer.slots,
-            route=route,
-            taken_ms=0 if answer.not_run else answer.taken_ms,
-            failed=answer.status >= _SERVER_ERROR,
-        )
-        self._balancer.record_answer(member.node, report, self._loop.time())
-
-    def _report_failure(
-        self, member: members.Member, *, unreachable: bool
-    ) -> None:
-        self._balancer.record_failure(
-            member.node, self._loop.time(), unreachable
-        )
-
     def _retry_budget(self, service: str) -> attempts.RetryBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -145,6 +145,16 @@
             and not self._silence_watch.is_suspect(connection.last_received_s)
         )
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a connection is open but a ping is unanswered."""
+        connection = self._connection
+        return (
+            connection is not None
+            and connection.is_open
+            and self._silence_watch.is_suspect(connection.last_received_s)
+        )
+
     def prepare(self, on_failed: abc.Callable[[], None]) -> None:
         """Open a connection unless one is open or being opened.
 
@@ -154,6 +164,14 @@
         if self._opening is None and not (connection and connection.is_open):
             self._when_open(lambda problem: on_failed() if problem else None)
 
+    def open(self, done: abc.Callable[[str], None]) -> None:
+        """Open a connection unless one is open.
+
+        ``done`` is called once, with the reason if the connection cannot
+        be opened and with an empty text otherwise.
+        """
+        self._when_open(done)
+
     @property
     def is_idle(self) -> bool:
         """Whether no call, revocation or connection attempt is pending."""
@@ -410,6 +428,11 @@
         """Return whether a call to ``member`` can be sent at once."""
         return self.get(member).is_ready
 
+    def is_suspect(self, member: members.Member) -> bool:
+        """Return whether ``member`` is connected but does not answer."""
+        peer = self.get(member)
+        return isinstance(peer, RemotePeer) and peer.is_suspect
+
     def prepare(
         self, member: members.Member, on_failed: abc.Callable[[], None]
     ) -> None:
@@ -418,6 +441,16 @@
         if isinstance(peer, RemotePeer):
             peer.prepare(on_failed)
 
+    def open(
+        self, member: members.Member, done: abc.Callable[[str], None]
+    ) -> None:
+        """Open a connection to ``member``; see `RemotePeer.open`."""
+        peer = self.get(member)
+        if isinstance(peer, RemotePeer):
+            peer.open(done)
+        else:
+            done("")
+
     def forget(self, node: str, call_id: str) -> None:
         """Discard the revocation data of a call that has ended."""
         peer = self._remote_by_node.get(node)
--- a/tests/fake_peers.py
+++ b/tests/fake_peers.py
@@ -102,6 +102,21 @@
         self._opening.add(peer.node)
         asyncio.get_running_loop().call_later(CONNECT_TIMEOUT_S, fail)
 
+    def is_suspect(self, member):
+        """Return whether a peer is connected but silent."""
+        peer = self.by_node[member.node]
+        return peer.connected and peer.silent
+
+    def open(self, member, done):
+        """Connect to a peer, and call ``done`` with the problem if any."""
+        peer = self.by_node[member.node]
+        loop = asyncio.get_running_loop()
+        if peer.dead:
+            loop.call_later(CONNECT_TIMEOUT_S, done, "no connection")
+            return
+        peer.connected = True
+        loop.call_soon(done, "")
+
     def keep_only(self, nodes):
         """Keep all peers."""
 
