Hand over the configuration while the log is out

Only a former parent or child with a path to a root invited them, once a second; with a root lost nobody did.

Change: any node with a configuration invites the peer of a lost link each 0.25 s; while the log is out, roots that lost a link and nodes without a path to a root invite all members in turn, at most 16 each 0.1 s and for 15 s. A node without a path to a root that refuses a joiner without a configuration sends its configuration and member rows first. Hello says whether its sender reaches a root.

tests/driver.py read the log from the offset of a process that had been replaced, and delivered invitations over links; both are corrected.

Measured: by scenario, 1 survivor of 13 and of 65: all nodes have the configuration and exactly the live members 0.5 s after the last start; fails on the code before.

--- a/features/steps/tree_steps.py
+++ b/features/steps/tree_steps.py
@@ -104,6 +104,80 @@
     nodes.add(settings)
 
 
+@behave.given("one node has left the fleet for good")
+def leave_for_good(context):
+    """Stop a leaf, and wait until all others know."""
+    nodes = context.fleet
+    parents = {nodes.parent(name) for name in nodes.cores_by_name}
+    name = next(
+        name
+        for name in nodes.cores_by_name
+        if name not in parents and name not in nodes.roots()
+    )
+    nodes.put(name, protocols.Left(reason="removed", stopping=True))
+    nodes.run(1.0)
+    nodes.kill(name)
+    nodes.run(3.0)
+
+
+@behave.when(
+    "all but {survivors:d} nodes are killed and start again within 1 second"
+)
+def restart_most(context, survivors):
+    """Kill the nodes together and restart each after its own delay."""
+    nodes = context.fleet
+    names = sorted(nodes.cores_by_name)
+    nodes.rng.shuffle(names)
+    for name in names[survivors:]:
+        settings = nodes.cores_by_name[name].tables.settings
+        nodes.kill(name)
+        delay_s = 1.0 + nodes.rng.random()
+        nodes.after(delay_s, lambda settings=settings: nodes.add(settings))
+    nodes.run(2.0)
+    context.names = names
+
+
+@behave.then(
+    "each node has the configuration 0.5 seconds after the last start"
+)
+def each_has_configuration(context):
+    """Check the versions half a second later."""
+    context.fleet.run(0.5)
+    version = max(c.tables.snapshot.version for c in _cores(context))
+    assert version > 0
+    behind = fleet.nodes_behind(context.fleet, version)
+    assert not behind, behind
+
+
+@behave.then("each of them knows the nodes that are left, and only these")
+def each_knows_members(context):
+    """Compare the live rows with the nodes of the fleet."""
+    for core in _cores(context):
+        known = {
+            row.node
+            for row in core.tables.members_by_node.values()
+            if row.live
+        }
+        assert known == set(context.names), known ^ set(context.names)
+
+
+@behave.when("the fleet's log answers again")
+def log_answers(context):
+    """End the outage of the log."""
+    context.fleet.is_log_down = False
+    context.fleet.run(3.0)
+
+
+@behave.then(
+    "no node has sent more than {count:d} messages a second meanwhile"
+)
+def few_messages(context, count):
+    """Check the number of messages since the start of the fleet."""
+    seconds = context.fleet.now_s
+    for name, traffic in context.fleet.traffic_by_name.items():
+        assert traffic.sent <= count * seconds, (name, traffic.sent)
+
+
 @behave.when("all roots of {centre} die")
 def kill_roots(context, centre):
     """Kill all roots of a data centre."""
--- a/features/tree.feature
+++ b/features/tree.feature
@@ -136,3 +136,26 @@
     Then every root counts 60 known nodes and 59 in force, and names the frozen one
     When it resumes
     Then every root counts 60 known nodes and 60 in force
+
+  Scenario Outline: survivors hand the configuration to restarted nodes
+    # Pattern: most nodes are killed while the log is out, and start again.
+    Given a fast fleet of <count> nodes in <centres> that has settled
+    And one node has left the fleet for good
+    When the fleet's log is out
+    And all but <survivors> nodes are killed and start again within 1 second
+    Then each node has the configuration 0.5 seconds after the last start
+    And each of them knows the nodes that are left, and only these
+    When the fleet's log answers again
+    Then a release to the fleet is in force everywhere within 4 seconds
+
+    Examples:
+      | count | centres                       | survivors |
+      | 13    | lipno, svet, susarna, rozberk | 1         |
+      | 13    | lipno, svet, susarna, rozberk | 6         |
+      | 65    | lipno, svet, susarna, rozberk | 1         |
+      | 65    | lipno, svet, susarna, rozberk | 29        |
+
+  Scenario: nodes that nobody has lost are not invited all the time
+    Given a fast fleet of 40 nodes in lipno, svet that has settled
+    When the fleet's log is out for 30 seconds
+    Then no node has sent more than 40 messages a second meanwhile
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -10,6 +10,7 @@
 from arbutusstall._systems import agreement
 from arbutusstall._systems import checkpoint
 from arbutusstall._systems import distribution
+from arbutusstall._systems import invitations
 from arbutusstall._systems import lease
 from arbutusstall._systems import liveness
 from arbutusstall._systems import local_rollback
@@ -149,6 +150,8 @@
         )
         if event.peer in self.tables.links_by_peer and not is_invitation:
             self.tables.relay.last_received_s_by_peer[event.peer] = now.mono_s
+        if isinstance(event.message, messages.SnapshotUpdate):
+            invitations.on_state_received(self.tables, event.peer, now)
         handler = _MESSAGE_HANDLERS.get(type(event.message))
         if handler is None:
             return []
--- a/src/arbutusstall/_systems/distribution.py
+++ b/src/arbutusstall/_systems/distribution.py
@@ -170,7 +170,12 @@
     tables.links_by_peer[peer] = dataclasses.replace(
         link, sent_version=version
     )
-    return [_effects.Send(peer=peer, message=_complete_update(tables))]
+    return [complete_update(tables, peer)]
+
+
+def complete_update(tables: node.Tables, peer: str) -> _effects.Send:
+    """Return the effect that sends ``peer`` the complete configuration."""
+    return _effects.Send(peer=peer, message=_complete_update(tables))
 
 
 def _merge_newest(
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -1,5 +1,6 @@
 """Distributes the member rows: endpoints and their states."""
 
+from collections import abc
 import dataclasses
 
 from arbutusstall import _clock
@@ -119,6 +120,9 @@
         effects.append(_effects.Send(peer=peer, message=reply))
     if urgent:
         effects += _flush(tables, now)
+    # Rows from a node that is not linked come with a configuration for a
+    # node that has none, which can serve once it has both.
+    urgent = urgent or peer not in tables.links_by_peer
     if urgent and tables.membership.view_due:
         effects.append(distribution.publish_view(tables))
     return effects
@@ -145,6 +149,12 @@
     return effects + _send_buckets(tables, peer, differing)
 
 
+def live_rows(tables: node.Tables, peer: str) -> list[_effects.Effect]:
+    """Return the effects that send ``peer`` the rows of all live nodes."""
+    rows = [row for row in tables.members_by_node.values() if row.live]
+    return _send_rows(peer, rows)
+
+
 def send_digest(tables: node.Tables, peer: str, reply: bool) -> _effects.Send:
     """Return the effect that starts a table comparison with ``peer``."""
     return _effects.Send(
@@ -333,12 +343,18 @@
         for row in tables.members_by_node.values()
         if member_rows.bucket_index(row.node) in differing
     ]
+    return _send_rows(peer, found)
+
+
+def _send_rows(
+    peer: str, rows: abc.Sequence[members.Member]
+) -> list[_effects.Effect]:
     return [
         _effects.Send(
             peer=peer,
             message=messages.MemberUpdate(
-                rows=tuple(found[start : start + _MAX_ROWS_PER_MESSAGE])
+                rows=tuple(rows[start : start + _MAX_ROWS_PER_MESSAGE])
             ),
         )
-        for start in range(0, len(found), _MAX_ROWS_PER_MESSAGE)
+        for start in range(0, len(rows), _MAX_ROWS_PER_MESSAGE)
     ]
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -61,12 +61,12 @@
 ) -> list[_effects.Effect]:
     """Admit a child or another root, refuse it, or accept an invitation."""
     if message.invite:
-        invitations.on_invited(tables, message, now)
-        return []
+        return invitations.on_invited(tables, message, now)
     refusal = admit.refusal(tables, message, now)
     if refusal is not None:
         tables.links_by_peer.pop(peer, None)
         return [
+            *invitations.on_refused_hello(tables, peer, message),
             _effects.Send(peer=peer, message=refusal),
             _effects.Disconnect(peer=peer),
         ]
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -63,6 +63,12 @@
         asked_addresses: Addresses already asked in this round.
         invitations_by_address: Planned invitations of peers whose links
             were lost.
+        invite_all_until_s: Until when all members are invited, if the log
+            is out.
+        next_invitations_s: When the next of these invitations are due.
+        uninvited_nodes: Members that are still to be invited in the
+            current round.
+        invited_at_once: Number of members that are invited together.
         attach_rounds: Candidate lists made since this node last attached
             or learnt of a new root.
         attach_started_s: Start of the current attempt to attach.
@@ -109,6 +115,10 @@
     invitations_by_address: dict[str, Invitation] = dataclasses.field(
         default_factory=dict
     )
+    invite_all_until_s: float = 0.0
+    next_invitations_s: float = 0.0
+    uninvited_nodes: list[str] = dataclasses.field(default_factory=list)
+    invited_at_once: int = 0
     attach_rounds: int = 0
     attach_started_s: float = 0.0
     join_tokens: float = 0.0
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -29,6 +29,8 @@
             admits only nodes of tier 1.
         invite: Whether the message is an invitation: the sender offers
             itself as a parent and doesn't ask for admission.
+        reaches_root: In an invitation, whether the chain of the sender's
+            parents reaches a root.
     """
 
     node: str
@@ -40,6 +42,7 @@
     label: int = -1
     tier: int = 1
     invite: bool = False
+    reaches_root: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -77,7 +77,8 @@
         self._aborted: set[int] = set()
         self._pending_events_by_name: dict[str, list[protocols.Event]] = {}
         self._last_size: tuple[messages.Message | None, int] = (None, 0)
-        self._followers: set[str] = set()
+        # Offset from which each node that follows the log reads next.
+        self._next_offset_by_name: dict[str, int] = {}
         self._names_by_address: dict[str, str] = {}
         self._queue: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._order = itertools.count()
@@ -106,7 +107,7 @@
     def kill(self, name: str) -> None:
         """Remove a node at once, as a crash does."""
         del self.cores_by_name[name]
-        self._followers.discard(name)
+        self._next_offset_by_name.pop(name, None)
         self._pending_events_by_name.pop(name, None)
         for one, other in list(self._links):
             if one == name:
@@ -142,10 +143,8 @@
         self.appends += 1
         self.append_times.append(self.now_s)
         offset = len(self.entries) - 1
-        for name in sorted(self._followers):
-            self.after(
-                self.log_delay_s, lambda name=name: self._read(name, offset)
-            )
+        for name in sorted(self._next_offset_by_name):
+            self._read_later(name, self.log_delay_s)
         return offset
 
     def _deliver_pending(self, name: str) -> None:
@@ -177,13 +176,10 @@
                         ),
                     )
                 case protocols.FollowLog():
-                    self._followers.add(name)
-                    self.after(
-                        self.log_delay_s,
-                        lambda offset=effect.offset: self._read(name, offset),
-                    )
+                    self._next_offset_by_name[name] = effect.offset
+                    self._read_later(name, self.log_delay_s)
                 case protocols.StopLog():
-                    self._followers.discard(name)
+                    self._next_offset_by_name.pop(name, None)
                 case protocols.Connect():
                     self._connect(name, effect)
                 case protocols.Disconnect():
@@ -220,15 +216,21 @@
         if newest is record and name in self.cores_by_name:
             self._append(name, record)
 
-    def _read(self, name: str, offset: int) -> None:
-        if name not in self._followers:
+    def _read_later(self, name: str, delay_s: float) -> None:
+        core = self.cores_by_name[name]
+        self.after(delay_s, lambda: self._read(name, core))
+
+    def _read(self, name: str, core: protocols.NodeCore) -> None:
+        restarted = self.cores_by_name.get(name) is not core
+        if restarted or name not in self._next_offset_by_name:
             return
         if self.is_log_down:
             self.put(name, protocols.LogFailed(reason="out"))
-            self.after(0.25, lambda: self._read(name, offset))
+            self._read_later(name, 0.25)
             return
         self.reads += 1
-        start = max(offset, self.first_kept)
+        start = max(self._next_offset_by_name[name], self.first_kept)
+        self._next_offset_by_name[name] = len(self.entries)
         self.put(
             name,
             protocols.LogRead(
@@ -276,6 +278,11 @@
             lost = protocols.LinkLost(peer=effect.address, reason="down")
             self.after(_LINK_LOST_DELAY_S, lambda: self.put(name, lost))
             return
+        if effect.hello.invite:
+            # The receiver closes the connection of an invitation at once.
+            invitation = protocols.Received(peer=name, message=effect.hello)
+            self.after(self.delay_s, lambda: self.put(other, invitation))
+            return
         connection = next(self._order)
         self._links[name, other] = connection
         self._links[other, name] = connection
