Record nodes that are gone in the roster

Cause: a target that leaves while the store is away stays in the roster as serving, since its node stops before it could save the departure.

Change: a member row names the instance that announced its departure. The leader compares the rows of nodes that left or died with the roster and marks their entries absent, and departed if the instance matches. Both go in one conditional append, so a newer entry is never replaced. Nodes that load the roster ignore absent entries; the node itself only departed ones, so a target that was merely silent is found again.

Measured: by scenario (member, platform_path).

--- a/features/member.feature
+++ b/features/member.feature
@@ -46,3 +46,25 @@
 
   Scenario: rows merge to the same table in any order
     Then rows merged in any order and repeated give the same table
+
+  Scenario: nodes that leave or die are recorded in the roster, once
+    # Pattern: nodes leave while the roster cannot be written, and all
+    # nodes restart later.
+    Given 40 members in lipno, svet whose tables agree
+    When the log is out, a target departs and another node dies
+    Then nothing is recorded in the roster within 40 seconds
+    When the outage ends for all members
+    Then both are recorded in the roster once within 20 seconds
+
+  Scenario Outline: an entry of the roster changes only if it is outdated
+    Given a roster entry of process <entry> with the target <target>
+    When its node is gone with process 2, the target i-1 <how>
+    Then the entry is <absent> and <departed>
+
+    Examples:
+      | entry | target | how      | absent  | departed     |
+      | 2     | i-1    | departed | absent  | departed     |
+      | 2     | i-1    | silent   | absent  | not departed |
+      | 1     | i-1    | departed | absent  | departed     |
+      | 3     | i-1    | departed | present | not departed |
+      | 2     | i-2    | departed | present | not departed |
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -25,6 +25,17 @@
     When its node is killed and a late heartbeat reaches the next process
     Then 20 requests are all answered by the other target
 
+  Scenario: a target that left in an outage is not in use after a restart
+    # Pattern: targets leave while the store cannot be written, and all
+    # nodes restart later, the node of the target that left among them.
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the store is out
+    And the first target reports that it drains
+    And its node stops
+    And the store answers, and 15 seconds later all nodes start again
+    Then 20 requests are all answered by the other target
+
   Scenario: a restarted mesh serves from the store alone
     Given nodes on the platform for kvoty and vazeni
     And the operator publishes version 3 with routes to both services
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -1,5 +1,6 @@
 """Steps for membership, run in the simulated driver."""
 
+import dataclasses
 import random
 
 import behave
@@ -10,6 +11,7 @@
 from arbutusstall import _clock
 from arbutusstall import protocols
 from arbutusstall import settings as node_settings
+from arbutusstall._log import roster
 from arbutusstall._systems import membership
 from arbutusstall._systems import rows as table
 from arbutusstall._tables import members
@@ -54,6 +56,82 @@
     context.fleet.kill(context.name)
 
 
+@behave.when("the log is out, a target departs and another node dies")
+def depart_in_outage(context):
+    """Let a target announce its departure, and kill another leaf."""
+    context.fleet.run(3 * _RELAY.refresh_s)
+    context.fleet.is_log_down = True
+    context.name = _leaf(context)
+    departed = protocols.Left(reason="draining", departed="i-1")
+    context.fleet.put(context.name, departed)
+    context.dead = _leaf(context, other_than=context.name)
+    context.fleet.kill(context.dead)
+
+
+@behave.then("nothing is recorded in the roster within {seconds:d} seconds")
+def nothing_recorded(context, seconds):
+    """Check that no record reaches the roster meanwhile."""
+    context.fleet.run(seconds)
+    assert not context.fleet.absences
+
+
+@behave.when("the outage ends for all members")
+def end_outage(context):
+    """End the outage."""
+    context.fleet.is_log_down = False
+
+
+@behave.then("both are recorded in the roster once within {seconds:d} seconds")
+def recorded_once(context, seconds):
+    """Check the recorded rows."""
+    context.fleet.run(seconds)
+    rows = [row for item in context.fleet.absences for row in item.rows]
+    assert {row.node for row in rows} == {context.name, context.dead}, rows
+    assert len(rows) == 2, rows
+    departed = {row.node: row.departed for row in rows}
+    assert departed[context.name] == "i-1"
+    assert departed[context.dead] == ""
+
+
+@behave.given("a roster entry of process {number:d} with the target {target}")
+def roster_entry(context, number, target):
+    """Create the entry; its process started at ``number`` milliseconds."""
+    context.entry = roster.RosterEntry(
+        member=_gone_row(number, target), instance=target
+    )
+
+
+@behave.when(
+    "its node is gone with process {number:d}, the target {target} {how}"
+)
+def compare_with_roster(context, number, target, how):
+    """Compare the entry with the last row of its node."""
+    row = dataclasses.replace(
+        _gone_row(number, target),
+        state=members.MemberState.LEAVING,
+        departed=target if how == "departed" else "",
+    )
+    changed = roster.gone_entries([row], [context.entry])
+    context.entry = next(iter(changed), context.entry)
+
+
+@behave.then("the entry is {absent} and {departed}")
+def check_entry(context, absent, departed):
+    """Check both flags of the entry."""
+    assert context.entry.absent == (absent == "absent")
+    assert context.entry.departed == (departed == "departed")
+
+
+def _gone_row(incarnation, target):
+    return members.Member(
+        node="n1",
+        data_centre="lipno",
+        incarnation=incarnation,
+        service="kvoty",
+        target=f"{target}:8080",
+    )
+
+
 @behave.when(
     "a node without children is disconnected until the others remove the row"
 )
@@ -276,9 +354,10 @@
     _announce(context, settings.node)
 
 
-def _leaf(context):
+def _leaf(context, other_than=""):
     nodes = context.fleet
     parents = {nodes.parent(name) for name in nodes.cores_by_name}
+    parents.add(other_than)
     return next(
         name
         for name in nodes.cores_by_name
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -10,6 +10,7 @@
 import platform_soak
 import programs
 from standins import endpoint
+from standins import store
 
 from arbutusstall import errors
 from arbutusstall._timeline import lines
@@ -199,6 +200,36 @@
     mesh.endpoints_by_node["n0"].send_heartbeat(sequence=1, state="ready")
 
 
+@behave.when("the store is out")
+def store_out(context):
+    """Answer every request to the store with an error."""
+    context.platform.store.faults = store.Faults(out=True)
+
+
+@behave.when("its node stops")
+def stop_first_node(context):
+    """Stop the node of the first target; its target is gone then."""
+    mesh = context.platform
+    mesh.endpoints_by_node["n0"].state = "silent"
+    assert mesh.nodes_by_name["n0"].terminate() == 0
+
+
+@behave.when(
+    "the store answers, and {seconds:d} seconds later all nodes start again"
+)
+def restart_after_outage(context, seconds):
+    """Kill the node that is left and start both; no target announces."""
+    mesh = context.platform
+    mesh.store.faults = store.Faults()
+    time.sleep(seconds)
+    mesh.endpoints_by_node["n1"].state = "silent"
+    mesh.nodes_by_name["n1"].kill()
+    for node in mesh.nodes_by_name.values():
+        node.start()
+    for node in mesh.nodes_by_name.values():
+        platform_mesh.wait_until(node.is_ready)
+
+
 @behave.when("all nodes are killed and the targets send no heartbeats")
 def silence_and_kill(context):
     """Stop the heartbeats; the targets still answer requests."""
--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -7,6 +7,7 @@
 from arbutusstall import _clock
 from arbutusstall import _effects
 from arbutusstall import _settings
+from arbutusstall._systems import absences
 from arbutusstall._systems import agreement
 from arbutusstall._systems import checkpoint
 from arbutusstall._systems import distribution
@@ -36,6 +37,7 @@
     _effects.Announced: membership.on_announced,
     _effects.Left: membership.on_left,
     _effects.RosterRead: membership.on_roster,
+    _effects.AbsenceRecorded: absences.on_recorded,
     _effects.Observed: outcomes.on_observed,
     _effects.LinkLost: tree.on_lost,
     _effects.TargetCrashed: quarantine.on_crashed,
@@ -132,6 +134,7 @@
         effects += tree.run(self.tables, now)
         effects += liveness.run(self.tables, now)
         effects += membership.run(self.tables, now)
+        effects += absences.run(self.tables, now)
         effects += progress.run(self.tables, now)
         effects += lease.run(self.tables, now)
         effects += checkpoint.run(self.tables, now)
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -99,10 +99,13 @@
 
     Attributes:
         stopping: Whether the whole node is stopping.
+        departed: Instance of the target if it announced its departure;
+            empty otherwise.
     """
 
     reason: str
     stopping: bool = False
+    departed: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -160,6 +163,13 @@
     rows: tuple[members.Member, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AbsenceRecorded:
+    """The rows of nodes that are gone were compared with the roster."""
+
+    rows: tuple[members.Member, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SourceChanged:
     """An external source stopped answering, or answers again."""
@@ -182,6 +192,7 @@
     | Ordered
     | SourceChanged
     | RosterRead
+    | AbsenceRecorded
 )
 
 
@@ -284,6 +295,17 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecordAbsence:
+    """Record in the roster that nodes are gone, once.
+
+    Attributes:
+        rows: Last rows of these nodes.
+    """
+
+    rows: tuple[members.Member, ...]
+
+
 Effect = (
     Append
     | FollowLog
@@ -295,4 +317,5 @@
     | PutInForce
     | UpdateSuspects
     | Emit
+    | RecordAbsence
 )
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -4,6 +4,7 @@
 from collections import abc
 from concurrent import futures
 import dataclasses
+import functools
 import gc
 import logging
 import random
@@ -251,7 +252,7 @@
         """
         target = self.inbound.target
         if target is not None and target.instance == departure.instance:
-            self._drain_target(departure.instance, reason)
+            self._drain_target(departure.instance, reason, departure.instance)
         entry = dataclasses.replace(
             self._roster_entry(departure.instance, departure.born_ms),
             departed=True,
@@ -321,7 +322,7 @@
             own = entry.member.node == self._settings.node
             if own:
                 self._restore_target(entry)
-            elif not entry.departed and entry.member.service:
+            elif _is_in_use(entry):
                 rows.append(entry.member)
         self._control.put(_effects.RosterRead(rows=tuple(rows)))
 
@@ -379,13 +380,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _drain_target(self, instance: str, reason: str) -> None:
+    def _drain_target(
+        self, instance: str, reason: str, departed: str = ""
+    ) -> None:
         if not self.inbound.admission.draining:
             self.log.emit(
                 "target-leaving", {"target": instance, "reason": reason}
             )
         self.inbound.drain_target()
-        self._control.put(_effects.Left(reason=reason))
+        self._control.put(_effects.Left(reason=reason, departed=departed))
 
     def _check_target(self) -> None:
         if self._announcements.detect_silence(self._loop.time()):
@@ -408,6 +411,7 @@
         loop.on(_effects.PutInForce, self._put_in_force)
         loop.on(_effects.UpdateSuspects, self.inbound.add_suspects)
         loop.on(_effects.Emit, self._emit)
+        loop.on(_effects.RecordAbsence, self._record_absence)
 
     def _follow(self, effect: _effects.FollowLog) -> None:
         self._log_worker.follow(effect)
@@ -423,3 +427,29 @@
 
     def _emit(self, effect: _effects.Emit) -> None:
         self.log.emit(effect.event, effect.fields)
+
+    def _record_absence(self, effect: _effects.RecordAbsence) -> None:
+        self._spawn(self._update_roster(effect))
+
+    async def _update_roster(self, effect: _effects.RecordAbsence) -> None:
+        change = functools.partial(roster.gone_entries, effect.rows)
+        try:
+            async with asyncio.timeout(_ROSTER_LOAD_TIMEOUT_S):
+                await self._loop.run_in_executor(
+                    self._roster_executor,
+                    self._environment.roster.update,
+                    change,
+                )
+        except (errors.LogUnavailable, TimeoutError) as exc:
+            self._log_failure("absence-not-recorded", exc)
+            return
+        names = ",".join(row.node for row in effect.rows)
+        self.log.emit("absence-recorded", {"nodes": names})
+        self._control.put(_effects.AbsenceRecorded(rows=effect.rows))
+
+
+def _is_in_use(entry: roster.RosterEntry) -> bool:
+    """Return whether a node without newer information may call the target."""
+    if entry.departed or entry.absent:
+        return False
+    return bool(entry.member.service)
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -46,6 +46,7 @@
         version=event.version,
         target=event.address,
         slots=event.slots,
+        departed="",
     )
     if row == own:
         tables.membership.held_row = None
@@ -65,7 +66,11 @@
 ) -> list[_effects.Effect]:
     """Take the local target out of service at once."""
     tables.membership.held_row = None
-    row = dataclasses.replace(tables.member, state=members.MemberState.LEAVING)
+    row = dataclasses.replace(
+        tables.member,
+        state=members.MemberState.LEAVING,
+        departed=event.departed or tables.member.departed,
+    )
     if row == tables.member:
         return []
     tables.membership.flap_penalty = _flap_penalty(tables, now) + 1.0
--- a/src/arbutusstall/_tables/members.py
+++ b/src/arbutusstall/_tables/members.py
@@ -42,6 +42,8 @@
         slots: Requests that the target runs concurrently.
         inbound: gRPC address for calls to the target.
         relay: gRPC address for configuration streams.
+        departed: Instance of the target that announced its departure;
+            empty if the last target did not announce one.
     """
 
     node: str
@@ -55,6 +57,7 @@
     slots: int = 0
     inbound: str = ""
     relay: str = ""
+    departed: str = ""
 
     @property
     def live(self) -> bool:
--- a/src/arbutusstall/_tables/relay.py
+++ b/src/arbutusstall/_tables/relay.py
@@ -192,6 +192,9 @@
             1; the penalty decays exponentially.
         flap_penalty_updated_s: When ``flap_penalty`` was last raised.
         held_row: This node's row that is held back because of flapping.
+        absent_by_node: Last rows of nodes that are recorded in the roster
+            as gone.
+        next_absence_s: When further ones are recorded at the earliest.
     """
 
     local_live: int = 0
@@ -225,3 +228,7 @@
     flap_penalty: float = 0.0
     flap_penalty_updated_s: float = 0.0
     held_row: members.Member | None = None
+    absent_by_node: dict[str, members.Member] = dataclasses.field(
+        default_factory=dict
+    )
+    next_absence_s: float = 0.0
--- a/src/arbutusstall/platform/roster.py
+++ b/src/arbutusstall/platform/roster.py
@@ -1,5 +1,6 @@
 """The roster of nodes as a keyed topic of the platform's store."""
 
+from collections import abc
 import logging
 
 import msgspec
@@ -26,23 +27,20 @@
         Raises:
             LogUnavailable: The store did not answer.
         """
-        entries = []
-        for record in self._store.read_newest(_TOPIC).records:
-            try:
-                entry = msgspec.json.decode(
-                    record.value, type=roster.RosterEntry
-                )
-            except msgspec.MsgspecError as exc:
-                LOG.warning(
-                    {
-                        "event": "record-skipped",
-                        "key": record.key,
-                        "reason": str(exc),
-                    }
-                )
-                continue
-            entries.append(entry)
-        return tuple(entries)
+        return _decode_all(self._store.read_newest(_TOPIC).records)
+
+    def update(self, change: roster.Change) -> None:
+        """Store the entries that ``change`` returns for all entries.
+
+        Raises:
+            LogUnavailable: The store did not confirm the entries, or
+                other entries were stored meanwhile.
+        """
+        newest = self._store.read_newest(_TOPIC)
+        entries = change(_decode_all(newest.records))
+        if entries:
+            values = [_encode(entry) for entry in entries]
+            self._store.append_at(_TOPIC, values, newest.next_offset)
 
     def save(self, entry: roster.RosterEntry) -> None:
         """Store an entry, replacing the previous one of the same node.
@@ -51,6 +49,29 @@
             LogUnavailable: The store did not confirm the entry, which
                 may have been stored nevertheless.
         """
-        value = msgspec.json.encode(entry)
-        key = entry.member.node
-        self._store.append(_TOPIC, stores.encode_keyed(key, value))
+        self._store.append(_TOPIC, _encode(entry))
+
+
+def _encode(entry: roster.RosterEntry) -> bytes:
+    value = msgspec.json.encode(entry)
+    return stores.encode_keyed(entry.member.node, value)
+
+
+def _decode_all(
+    records: abc.Iterable[stores.KeyedRecord],
+) -> tuple[roster.RosterEntry, ...]:
+    entries = []
+    for record in records:
+        try:
+            entry = msgspec.json.decode(record.value, type=roster.RosterEntry)
+        except msgspec.MsgspecError as exc:
+            LOG.warning(
+                {
+                    "event": "record-skipped",
+                    "key": record.key,
+                    "reason": str(exc),
+                }
+            )
+            continue
+        entries.append(entry)
+    return tuple(entries)
--- a/src/arbutusstall/platform/store.py
+++ b/src/arbutusstall/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, which keeps topics of records."""
 
 import base64
+from collections import abc
 import dataclasses
 import struct
 from typing import TypeVar
@@ -93,13 +94,21 @@
             LogUnavailable: The store did not confirm the record, which
                 may have been stored nevertheless.
         """
-        data = self._request(
-            "POST",
-            "/log-append",
-            {"topic": topic, "part": "0"},
-            body=_LENGTH.pack(len(value)) + value,
-        )
-        return self._decode(data, _Appended).offset
+        query = {"topic": topic, "part": "0"}
+        return self._append(query, [value])
+
+    def append_at(
+        self, topic: str, values: abc.Iterable[bytes], offset: int
+    ) -> int:
+        """Append records if the topic ends at ``offset``; return it.
+
+        Raises:
+            LogOverloaded: The records exceeded the store's rate limit.
+            LogUnavailable: The topic does not end there, or the store did
+                not confirm the records, which may have been stored.
+        """
+        query = {"topic": topic, "part": "0", "at": str(offset)}
+        return self._append(query, values)
 
     def read(self, topic: str, offset: int, wait_s: float) -> Records:
         """Return the records from ``offset`` on.
@@ -149,6 +158,13 @@
             query["after"] = page.items[-1].key
         return NewestRecords(records=tuple(collected), next_offset=end)
 
+    def _append(
+        self, query: dict[str, str], values: abc.Iterable[bytes]
+    ) -> int:
+        body = b"".join(_LENGTH.pack(len(value)) + value for value in values)
+        data = self._request("POST", "/log-append", query, body=body)
+        return self._decode(data, _Appended).offset
+
     def _decode_records(self, data: bytes, offset: int) -> Records:
         if len(data) < _READ_HEADER.size:
             raise self._unavailable(
--- a/src/arbutusstall/protocols.py
+++ b/src/arbutusstall/protocols.py
@@ -13,6 +13,7 @@
 from arbutusstall._clock import ManualClock
 from arbutusstall._clock import SystemClock
 from arbutusstall._core import NodeCore
+from arbutusstall._effects import AbsenceRecorded
 from arbutusstall._effects import Announced
 from arbutusstall._effects import Append
 from arbutusstall._effects import Appended
@@ -32,6 +33,7 @@
 from arbutusstall._effects import Published
 from arbutusstall._effects import PutInForce
 from arbutusstall._effects import Received
+from arbutusstall._effects import RecordAbsence
 from arbutusstall._effects import ReportRollout
 from arbutusstall._effects import RosterRead
 from arbutusstall._effects import Send
@@ -41,6 +43,7 @@
 from arbutusstall._log.client import LogClient
 
 __all__ = [
+    "AbsenceRecorded",
     "Announced",
     "Append",
     "Appended",
@@ -65,6 +68,7 @@
     "Published",
     "PutInForce",
     "Received",
+    "RecordAbsence",
     "ReportRollout",
     "RosterRead",
     "Send",
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -37,6 +37,7 @@
     Attributes:
         delay_s: Delay of messages between nodes.
         emitted: Events of the nodes: time in seconds, node and event.
+        absences: Nodes that were recorded in the roster as gone.
         entries: Encoded records of the log; the index is the offset.
         first_kept: Offset of the oldest record that has not expired.
         append_times: Time of each append in seconds.
@@ -59,6 +60,7 @@
         self.views_by_name: dict[str, protocols.View] = {}
         self.emitted: list[tuple[float, str, protocols.Emit]] = []
         self.reports: list[protocols.ReportRollout] = []
+        self.absences: list[protocols.RecordAbsence] = []
         self.entries: list[bytes] = []
         self.first_kept = 0
         self.appends = 0
@@ -190,11 +192,22 @@
                     self.views_by_name[name] = effect.view
                 case protocols.ReportRollout():
                     self.reports.append(effect)
+                case protocols.RecordAbsence():
+                    self._record_absence(name, effect)
                 case protocols.Emit():
                     self.emitted.append(
                         (self.clock.now().mono_s, name, effect)
                     )
 
+    def _record_absence(
+        self, name: str, effect: protocols.RecordAbsence
+    ) -> None:
+        if self.is_log_down:
+            return
+        self.absences.append(effect)
+        recorded = protocols.AbsenceRecorded(rows=effect.rows)
+        self.after(self.log_delay_s, lambda: self.put(name, recorded))
+
     def _append(self, name: str, record: records.Record) -> None:
         key = (name, records.queue_key(record))
         if self.is_log_down:
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -53,10 +53,18 @@
         data = bytes([len(name)]) + name + msgspec.json.encode(value)
         self.append(topic, [data])
 
-    def append(self, topic: str, values: list[bytes]) -> int:
-        """Store records; return the offset of the first."""
+    def append(
+        self, topic: str, values: list[bytes], at: int | None = None
+    ) -> int | None:
+        """Store records; return the offset of the first.
+
+        If ``at`` is given and the topic does not end there, nothing is
+        stored and the result is None.
+        """
         with self._lock:
             records = self._records_by_topic.setdefault(topic, [])
+            if at is not None and at != len(records):
+                return None
             records.extend(values)
             return len(records) - len(values)
 
@@ -105,7 +113,11 @@
             start += _LENGTH.size
             values.append(data[start : start + size])
             start += size
-        offset = self._store.append(request.args["topic"], values)
+        offset = self._store.append(
+            request.args["topic"], values, request.args.get("at", type=int)
+        )
+        if offset is None:
+            return wrappers.Response("", 412)
         if self._store.faults.lose_answers:
             return wrappers.Response("", 503)
         return _json({"offset": offset, "endOffset": offset + len(values)})
