Let a stopping node's target serve on

Cause: a node that got SIGTERM refused all calls to its target at once, although it runs for 2.2 s more to give callers notice.

--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -99,12 +99,15 @@
 
     Attributes:
         stopping: Whether the whole node is stopping.
+        serving: Whether the target still takes calls. A stopping node
+            first hands over its place in the tree.
         departed: Instance of the target if it announced its departure;
             empty otherwise.
     """
 
     reason: str
     stopping: bool = False
+    serving: bool = False
     departed: str = ""
 
 
