--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -39,13 +39,8 @@
 # An answer that arrives shortly after the deadline is still passed on.
 _LATE_ANSWER_GRACE_S = 0.12
 # Attempts that were refused before they reached a target cost no endpoint
-# any work. They have limits of their own and use no retry budget.
+# any work. They have this limit of their own and use no retry budget.
 _MAX_REFUSALS = 3
-# Further endpoints are asked within this share of the latency objective.
-# One of many endpoints often has a free slot while a few drawn at random
-# are full.
-_MAX_EARLY_REFUSALS = 12
-_EARLY_SHARE = 0.1
 _NO_ENDPOINT_RETRY_MS = 300
 # After this time without a connection to any endpoint, a request is
 # refused rather than held while further endpoints are tried.
@@ -396,19 +391,13 @@
         if not reached:
             running.refusals += 1
             running.sends -= 1
-            return running.refusals <= self._max_refusals(running)
+            return running.refusals <= _MAX_REFUSALS
         limit = running.route.max_attempts or self._settings.calls.attempts
         if running.sends >= limit:
             return False
         budget = self._retry_budget(running.call.service)
         return budget.withdraw(nested=running.nested)
 
-    def _max_refusals(self, running: _RunningRequest) -> int:
-        early_ms = running.route.target_latency_ms * _EARLY_SHARE
-        if self._elapsed_ms(running) <= early_ms:
-            return _MAX_EARLY_REFUSALS
-        return _MAX_REFUSALS
-
     def _answer_caller(
         self, running: _RunningRequest, answer: messages.CallAnswer
     ) -> None:
