--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import abc
 import dataclasses
-import logging
 import time
 
 from arbutusstall import _effects
@@ -13,6 +12,8 @@
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import http_client
 from arbutusstall._proxy import http_messages
+from arbutusstall._proxy import target_log
+from arbutusstall._proxy import target_probe
 from arbutusstall._shell import call_metrics
 from arbutusstall._shell import events
 from arbutusstall._shell import outcome_counter
@@ -34,7 +35,6 @@
 # A target may work until its deadline, and its answer arrives shortly after.
 _LATE_ANSWER_GRACE_MS = 60
 _FLUSH_INTERVAL_S = 0.25
-_PROBE_TIMEOUT_S = 0.2
 # Delays the answer to a call that crashed its target, so that the suspect
 # marks reach the other nodes before the caller can retry.
 _SUSPECT_SPREAD_S = 0.1
@@ -93,7 +93,7 @@
         self._settings = settings
         self._dialect = dialect
         self._put = put
-        self._log = log
+        self._log = target_log.TargetLog(log)
         self._bodies = bodies or byte_budget.ByteBudget(
             settings.reads.held_bytes
         )
@@ -408,7 +408,7 @@
         """Find out whether a call was lost because the target crashed."""
         target = running.target
         reason = loss.reason
-        if await _refuses_connections(target.address):
+        if await target_probe.refuses_connections(target.address):
             reason = CRASHED
             if self._target is target:
                 self._target_crashed(running)
@@ -449,7 +449,9 @@
         taken_s = self._loop.time() - running.started_s
         if not answer.not_run and not running.cancelled:
             self._counter.count(call, answer, taken_s)
-        self._log_end(running, answer, taken_s)
+        self._log.ended(
+            call, answer, running.target, self._left_ms(running), taken_s
+        )
         promoted = self.admission.release_slot(call.call_id, now_ms)
         taken_ms = max(1, int(taken_s * 1000))
         self._answer(call, running.done, answer, taken_ms)
@@ -523,15 +525,7 @@
     def _target_unreachable(
         self, running: _RunningCall, problem: errors.PeerUnavailable
     ) -> None:
-        self._log.emit(
-            "target-unreachable",
-            {
-                "request": running.call.request_id,
-                "target": running.target.address,
-                "reason": problem.reason,
-            },
-            logging.WARNING,
-        )
+        self._log.unreachable(running.call, running.target, problem.reason)
         refusal = admission.refusal(running.call, admission.UNREACHABLE)
         self._finish(running, refusal)
         refused = isinstance(problem, errors.ConnectionRefused)
@@ -548,16 +542,8 @@
         self._crash_count += 1
         crash = f"{self._settings.node}/{self.incarnation}/{self._crash_count}"
         rows = self._suspects.record_crash(fingerprints, crash, time.time())
-        self._log.emit(
-            "target-crashed",
-            {
-                "request": running.call.request_id,
-                "target": running.target.address,
-                "instance": running.target.instance,
-                "in_flight": self.admission.in_flight,
-                "suspects": len(rows),
-            },
-            logging.WARNING,
+        self._log.crashed(
+            running.call, running.target, self.admission.in_flight, len(rows)
         )
         self._put(_effects.TargetCrashed(suspects=rows))
         self._drop_target(CRASHED)
@@ -580,45 +566,3 @@
         self._pool = http_client.Pool(
             address, limit, self._settings.reads, self._bodies
         )
-
-    def _log_end(
-        self,
-        running: _RunningCall,
-        answer: messages.CallAnswer,
-        taken_s: float,
-    ) -> None:
-        reason = answer.unknown or answer.not_run
-        if not reason:
-            return
-        call = running.call
-        self._log.emit(
-            "call-unknown" if answer.unknown else "call-not-started",
-            {
-                "request": call.request_id,
-                "call": call.call_id,
-                "service": call.service,
-                "version": call.version,
-                "target": running.target.instance,
-                "idempotent": int(call.idempotent),
-                "left_ms": self._left_ms(running),
-                "taken_ms": int(taken_s * 1000),
-                "reason": reason,
-            },
-        )
-
-
-async def _refuses_connections(address: str) -> bool:
-    """Return whether a target's address refuses connections.
-
-    A connection that fails otherwise or times out proves no crash.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(_PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
--- /dev/null
+++ b/src/arbutusstall/_proxy/target_log.py
@@ -0,0 +1,88 @@
+"""Log lines of an inbound proxy about calls to its target."""
+
+import logging
+
+from arbutusstall import _effects
+from arbutusstall._shell import events
+from arbutusstall._wire import messages
+
+
+class TargetLog:
+    """Logs calls that did not run or whose outcome is unknown."""
+
+    def __init__(self, log: events.EventLog) -> None:
+        self._log = log
+
+    def ended(
+        self,
+        call: messages.CallRequest,
+        answer: messages.CallAnswer,
+        target: _effects.Announced,
+        left_ms: int,
+        taken_s: float,
+    ) -> None:
+        """Log the end of a call, unless the target answered it.
+
+        Args:
+            left_ms: Time left to the caller's deadline, in milliseconds.
+            taken_s: Time since the call was started, in seconds.
+        """
+        reason = answer.unknown or answer.not_run
+        if not reason:
+            return
+        self._log.emit(
+            "call-unknown" if answer.unknown else "call-not-started",
+            {
+                "request": call.request_id,
+                "call": call.call_id,
+                "service": call.service,
+                "version": call.version,
+                "target": target.instance,
+                "idempotent": int(call.idempotent),
+                "left_ms": left_ms,
+                "taken_ms": int(taken_s * 1000),
+                "reason": reason,
+            },
+        )
+
+    def unreachable(
+        self,
+        call: messages.CallRequest,
+        target: _effects.Announced,
+        reason: str,
+    ) -> None:
+        """Log that no connection to the target could be opened."""
+        self._log.emit(
+            "target-unreachable",
+            {
+                "request": call.request_id,
+                "target": target.address,
+                "reason": reason,
+            },
+            logging.WARNING,
+        )
+
+    def crashed(
+        self,
+        call: messages.CallRequest,
+        target: _effects.Announced,
+        in_flight: int,
+        suspects: int,
+    ) -> None:
+        """Log that the target crashed while it ran calls.
+
+        Args:
+            in_flight: Number of calls that it ran.
+            suspects: Number of calls that are suspected of the crash.
+        """
+        self._log.emit(
+            "target-crashed",
+            {
+                "request": call.request_id,
+                "target": target.address,
+                "instance": target.instance,
+                "in_flight": in_flight,
+                "suspects": suspects,
+            },
+            logging.WARNING,
+        )
--- a/src/arbutusstall/_systems/admit.py
+++ b/src/arbutusstall/_systems/admit.py
@@ -73,10 +73,6 @@
     return tuple(dict.fromkeys(addresses))
 
 
-def _reaches_root(tables: node.Tables) -> bool:
-    return tables.is_root or tables.relay.attached
-
-
 def _children(tables: node.Tables) -> list[links.Link]:
     return [
         link
