Tell restarted nodes that their target had left

Change: the member row names the start of the target that departed (instance and time of birth). A peer that sends the row back to a later process of the node makes it treat that start as departed; the rows that are handed over while the log is out include the receiver's own.

Measured: by scenario (member, platform_path), with the store out and available.

--- a/features/member.feature
+++ b/features/member.feature
@@ -56,6 +56,18 @@
     When the outage ends for all members
     Then both are recorded in the roster once within 20 seconds
 
+  Scenario Outline: a restarted node learns that its target had departed
+    # Pattern: a node is killed after its target reported that it leaves,
+    # before the roster has it.
+    Given a fast fleet of 13 nodes in lipno, svet that has settled
+    When the target of a leaf departs and the leaf is restarted with the log <log>
+    Then it is told of the departure within 2 seconds
+
+    Examples:
+      | log       |
+      | out       |
+      | available |
+
   Scenario Outline: an entry of the roster changes only if it is outdated
     Given a roster entry of process <entry> with the target <target>
     When its node is gone with process 2, the target i-1 <how>
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -25,6 +25,16 @@
     When its node is killed and a late heartbeat reaches the next process
     Then 20 requests are all answered by the other target
 
+  Scenario: a restart in an outage does not forget that a target left
+    # Pattern: a node is killed after it has acknowledged that its target
+    # leaves, while the store cannot be written.
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the store is out
+    And the first target reports that it drains
+    And its node is killed and a late heartbeat reaches the next process
+    Then 20 requests are all answered by the other target
+
   Scenario: a target that left in an outage is not in use after a restart
     # Pattern: targets leave while the store cannot be written, and all
     # nodes restart later, the node of the target that left among them.
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -93,11 +93,37 @@
     assert departed[context.dead] == ""
 
 
+@behave.when(
+    "the target of a leaf departs and the leaf is restarted with the log {log}"
+)
+def restart_departed(context, log):
+    """Kill the leaf a second after the departure, and start it again."""
+    nodes = context.fleet
+    nodes.is_log_down = log == "out"
+    context.name = _leaf(context)
+    settings = nodes.cores_by_name[context.name].tables.settings
+    _announce(context, context.name)
+    nodes.run(1.0)
+    departed = protocols.Left(reason="draining", departed="i-1/7")
+    nodes.put(context.name, departed)
+    nodes.run(1.0)
+    nodes.kill(context.name)
+    nodes.run(1.0)
+    nodes.add(settings)
+
+
+@behave.then("it is told of the departure within {seconds:d} seconds")
+def told_of_departure(context, seconds):
+    """Check that the new process has the start of the target."""
+    context.fleet.run(seconds)
+    assert (context.name, "i-1/7") in context.fleet.departures
+
+
 @behave.given("a roster entry of process {number:d} with the target {target}")
 def roster_entry(context, number, target):
     """Create the entry; its process started at ``number`` milliseconds."""
     context.entry = roster.RosterEntry(
-        member=_gone_row(number, target), instance=target
+        member=_gone_row(number, target), instance=target, born_ms=7
     )
 
 
@@ -109,7 +135,7 @@
     row = dataclasses.replace(
         _gone_row(number, target),
         state=members.MemberState.LEAVING,
-        departed=target if how == "departed" else "",
+        departed=f"{target}/7" if how == "departed" else "",
     )
     changed = roster.gone_entries([row], [context.entry])
     context.entry = next(iter(changed), context.entry)
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -101,8 +101,8 @@
         stopping: Whether the whole node is stopping.
         serving: Whether the target still takes calls. A stopping node
             first hands over its place in the tree.
-        departed: Instance of the target if it announced its departure;
-            empty otherwise.
+        departed: Start of the target if it announced its departure, as in
+            `members.Member`; empty otherwise.
     """
 
     reason: str
@@ -309,6 +309,17 @@
     rows: tuple[members.Member, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetDeparted:
+    """The target left while an earlier process of this node ran.
+
+    Attributes:
+        start: Start of the target, as in `members.Member`.
+    """
+
+    start: str
+
+
 Effect = (
     Append
     | FollowLog
@@ -321,4 +332,5 @@
     | UpdateSuspects
     | Emit
     | RecordAbsence
+    | TargetDeparted
 )
--- a/src/arbutusstall/_log/roster.py
+++ b/src/arbutusstall/_log/roster.py
@@ -59,7 +59,8 @@
             continue
         if entry.member.target != row.target:
             continue
-        departed = entry.departed or entry.instance == row.departed
+        start = members.target_start(entry.instance, entry.born_ms)
+        departed = entry.departed or start == row.departed
         new = dataclasses.replace(entry, departed=departed, absent=True)
         if new != entry:
             changed.append(new)
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -262,7 +262,8 @@
         """
         target = self.inbound.target
         if target is not None and target.instance == departure.instance:
-            self._drain_target(departure.instance, reason, departure.instance)
+            start = members.target_start(departure.instance, departure.born_ms)
+            self._drain_target(departure.instance, reason, start)
         entry = dataclasses.replace(
             self._roster_entry(departure.instance, departure.born_ms),
             departed=True,
@@ -422,6 +423,7 @@
         loop.on(_effects.UpdateSuspects, self.inbound.add_suspects)
         loop.on(_effects.Emit, self._emit)
         loop.on(_effects.RecordAbsence, self._record_absence)
+        loop.on(_effects.TargetDeparted, self._on_earlier_departure)
 
     def _follow(self, effect: _effects.FollowLog) -> None:
         self._log_worker.follow(effect)
@@ -441,6 +443,15 @@
     def _record_absence(self, effect: _effects.RecordAbsence) -> None:
         self._spawn(self._update_roster(effect))
 
+    def _on_earlier_departure(self, effect: _effects.TargetDeparted) -> None:
+        self._announcements.restore_start(effect.start)
+        newest = self._announcements.newest
+        if newest is None:
+            return
+        start = members.target_start(newest.instance, newest.born_ms)
+        if start == effect.start:
+            self._spawn(self.leave(newest.instance))
+
     async def _update_roster(self, effect: _effects.RecordAbsence) -> None:
         change = functools.partial(roster.gone_entries, effect.rows)
         try:
--- a/src/arbutusstall/_systems/announcements.py
+++ b/src/arbutusstall/_systems/announcements.py
@@ -122,6 +122,17 @@
         for departure in departures:
             self._record_departure(departure)
 
+    def restore_start(self, start: str) -> None:
+        """Load one departure that another node has kept.
+
+        Args:
+            start: The target's start, as `members.target_start` returns it.
+        """
+        instance, _, born_ms = start.rpartition("/")
+        self._record_departure(
+            Departure(instance=instance, born_ms=int(born_ms))
+        )
+
     def detect_silence(self, now_s: float) -> bool:
         """Return True if the target has been silent for ``silent_s``.
 
--- a/src/arbutusstall/_systems/invitations.py
+++ b/src/arbutusstall/_systems/invitations.py
@@ -82,7 +82,7 @@
         return []
     return [
         distribution.complete_update(tables, peer),
-        *membership.live_rows(tables, peer),
+        *membership.rows_for(tables, peer, message.node),
     ]
 
 
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -110,8 +110,10 @@
     """
     urgent = False
     dead_rows: list[members.Member] = []
+    effects: list[_effects.Effect] = []
     for row in message.rows:
         if row.node == tables.member.node:
+            effects += _earlier_departure(tables, row)
             _refute(tables, row, now)
             continue
         if not member_rows.is_newer(tables, row):
@@ -121,7 +123,6 @@
         member_rows.put(tables, row, now)
         _queue_update(tables, row, peer, now)
         urgent = urgent or (known is not None and not row.live)
-    effects: list[_effects.Effect] = []
     if dead_rows:
         reply = messages.MemberUpdate(rows=tuple(dead_rows))
         effects.append(_effects.Send(peer=peer, message=reply))
@@ -156,9 +157,22 @@
     return effects + _send_buckets(tables, peer, differing)
 
 
-def live_rows(tables: node.Tables, peer: str) -> list[_effects.Effect]:
-    """Return the effects that send ``peer`` the rows of all live nodes."""
-    rows = [row for row in tables.members_by_node.values() if row.live]
+def rows_for(
+    tables: node.Tables, peer: str, name: str
+) -> list[_effects.Effect]:
+    """Return the effects that send ``peer`` what a node needs at its start.
+
+    These are the rows of all live nodes and its own.
+
+    Args:
+        peer: Peer to send to.
+        name: Node id of the peer.
+    """
+    rows = [
+        row
+        for row in tables.members_by_node.values()
+        if row.live or row.node == name
+    ]
     return _send_rows(peer, rows)
 
 
@@ -213,6 +227,18 @@
     return [tombstone.row]
 
 
+def _earlier_departure(
+    tables: node.Tables, row: members.Member
+) -> list[_effects.Effect]:
+    """Report a departure that an earlier process of this node announced.
+
+    That process may have ended before the roster had it.
+    """
+    if not row.departed or row.incarnation >= tables.member.incarnation:
+        return []
+    return [_effects.TargetDeparted(start=row.departed)]
+
+
 def _refute(
     tables: node.Tables, row: members.Member, now: _clock.Instant
 ) -> None:
--- a/src/arbutusstall/_tables/members.py
+++ b/src/arbutusstall/_tables/members.py
@@ -42,8 +42,9 @@
         slots: Requests that the target runs concurrently.
         inbound: gRPC address for calls to the target.
         relay: gRPC address for configuration streams.
-        departed: Instance of the target that announced its departure;
-            empty if the last target did not announce one.
+        departed: Start of the target that announced its departure, as
+            `target_start` returns it; empty if the last target did not
+            announce one.
     """
 
     node: str
@@ -68,3 +69,15 @@
     def rank(self) -> tuple[int, int]:
         """Sort key of the rows of one node; the highest is the newest."""
         return (self.incarnation, self.sequence)
+
+
+def target_start(instance: str, born_ms: int) -> str:
+    """Return the text that identifies one start of a target.
+
+    An instance may start again under the same id.
+
+    Args:
+        instance: Id of the target.
+        born_ms: Time of the start, milliseconds since the epoch.
+    """
+    return f"{instance}/{born_ms}"
--- a/src/arbutusstall/protocols.py
+++ b/src/arbutusstall/protocols.py
@@ -39,6 +39,7 @@
 from arbutusstall._effects import Send
 from arbutusstall._effects import SourceChanged
 from arbutusstall._effects import StopLog
+from arbutusstall._effects import TargetDeparted
 from arbutusstall._effects import View
 from arbutusstall._log.client import LogClient
 
@@ -75,5 +76,6 @@
     "SourceChanged",
     "StopLog",
     "SystemClock",
+    "TargetDeparted",
     "View",
 ]
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -38,6 +38,8 @@
         delay_s: Delay of messages between nodes.
         emitted: Events of the nodes: time in seconds, node and event.
         absences: Nodes that were recorded in the roster as gone.
+        departures: Nodes that were told that their target had left before
+            they started, and the target's start.
         entries: Encoded records of the log; the index is the offset.
         first_kept: Offset of the oldest record that has not expired.
         append_times: Time of each append in seconds.
@@ -61,6 +63,7 @@
         self.emitted: list[tuple[float, str, protocols.Emit]] = []
         self.reports: list[protocols.ReportRollout] = []
         self.absences: list[protocols.RecordAbsence] = []
+        self.departures: list[tuple[str, str]] = []
         self.entries: list[bytes] = []
         self.first_kept = 0
         self.appends = 0
@@ -192,6 +195,8 @@
                     self.views_by_name[name] = effect.view
                 case protocols.ReportRollout():
                     self.reports.append(effect)
+                case protocols.TargetDeparted():
+                    self.departures.append((name, effect.start))
                 case protocols.RecordAbsence():
                     self._record_absence(name, effect)
                 case protocols.Emit():
