Send rows before the configuration to new nodes

Cause: a node that starts is ready as soon as it has a configuration. Its rows came after it, by a comparison of tables: until then it refused requests (no endpoint) and could not know that its target had left.

Change: a parent that admits a node without a configuration, or that hands it over, sends the rows first.

--- a/src/arbutusstall/_systems/invitations.py
+++ b/src/arbutusstall/_systems/invitations.py
@@ -80,9 +80,11 @@
         return []
     if admit.reaches_root(tables):
         return []
+    # The rows go first: they may tell the node that its target has left,
+    # and it can serve as soon as it has the configuration.
     return [
-        distribution.complete_update(tables, peer),
         *membership.rows_for(tables, peer, message.node),
+        distribution.complete_update(tables, peer),
     ]
 
 
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -87,7 +87,12 @@
         label=tables.relay.label,
         local_size=admit.local_size(tables),
     )
-    effects: list[_effects.Effect] = [
+    effects: list[_effects.Effect] = []
+    if tables.snapshot.version and not message.version:
+        # A node that has just started can serve as soon as it has the
+        # configuration, so it gets the rows before.
+        effects += membership.rows_for(tables, peer, message.node)
+    effects += [
         _effects.Send(peer=peer, message=welcome),
         membership.send_digest(tables, peer, reply=True),
     ]
