--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -73,14 +73,6 @@
     When a node is stopped while it waits for a slow target
     Then the answer arrives whole and the node ends with code 0
 
-  Scenario: the target of a stopping node serves on until all know
-    # Pattern: the nodes of a service are restarted in turn under load.
-    Given nodes on the platform for kvoty and vazeni
-    And the operator publishes version 3 with routes to both services
-    When the only node of vazeni is stopped
-    Then requests to vazeni are answered for 1 more second
-    And the node ends with code 0
-
   Scenario Outline: random failures break no promise with seed <seed>
     When a soak with seed <seed> runs for 8 seconds
     Then no guarantee to callers and targets was violated
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -99,15 +99,12 @@
 
     Attributes:
         stopping: Whether the whole node is stopping.
-        serving: Whether the target still takes calls. A stopping node
-            first hands over its place in the tree.
         departed: Start of the target if it announced its departure, as in
             `members.Member`; empty otherwise.
     """
 
     reason: str
     stopping: bool = False
-    serving: bool = False
     departed: str = ""
 
 
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -38,9 +38,6 @@
 
 _TARGET_CHECK_INTERVAL_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
-# Time for which a stopping node refuses calls of other nodes before it
-# stops listening; they learn of the stop within it.
-_INBOUND_NOTICE_S = 0.4
 # A target waits one second for the answer to its heartbeat, and a departure is
 # saved before that answer.
 _ROSTER_SAVE_TIMEOUT_S = 0.5
@@ -176,22 +173,17 @@
     async def stop(self) -> None:
         """Drain, then close everything.
 
-        The target keeps serving until callers and other nodes have had
-        notice of the stop. Requests in flight may finish until the grace
-        period is over.
+        Requests in flight may finish until the grace period is over.
         """
         began_s = self._loop.time()
         self._stopping = True
         self.log.emit("node-stopping")
         self._caller_server.closing = True
-        self._control.put(
-            _effects.Left(reason="node stops", stopping=True, serving=True)
-        )
-        notice_s = self._environment.notice_s
-        await asyncio.sleep(max(0.0, notice_s - _INBOUND_NOTICE_S))
+        # Running requests make their nested calls through this node, so no
+        # new ones start while callers are given notice.
         self.inbound.drain()
-        self._control.put(_effects.Left(reason="node stops"))
-        await asyncio.sleep(min(notice_s, _INBOUND_NOTICE_S))
+        self._control.put(_effects.Left(reason="node stops", stopping=True))
+        await asyncio.sleep(self._environment.notice_s)
         self._caller_server.close_listener()
         end_s = began_s + self._environment.grace_s
         while self._is_busy() and self._loop.time() < end_s:
--- a/src/arbutusstall/_systems/membership.py
+++ b/src/arbutusstall/_systems/membership.py
@@ -65,8 +65,6 @@
     tables: node.Tables, event: _effects.Left, now: _clock.Instant
 ) -> list[_effects.Effect]:
     """Take the local target out of service at once."""
-    if event.serving:
-        return []
     tables.membership.held_row = None
     row = dataclasses.replace(
         tables.member,
