--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -73,7 +73,10 @@
 
 
 def _open_all(context, count, data=b""):
-    clients = [_connect(context) for _ in range(count)]
+    return _send_all([_connect(context) for _ in range(count)], data)
+
+
+def _send_all(clients, data):
     for client in clients:
         client.sendall(data)
     return clients
@@ -101,9 +104,7 @@
     async def prepare(number):
         clients = _open_all(context, number)
         await asyncio.sleep(_SETTLE_S)
-        for client in clients:
-            client.sendall(_REQUEST)
-        return clients
+        return _send_all(clients, _REQUEST)
 
     _stop(context, count, prepare)
 
@@ -125,9 +126,7 @@
 
     async def prepare(number):
         clients = await _use(context, number)
-        for client in clients:
-            client.sendall(_REQUEST)
-        return clients
+        return _send_all(clients, _REQUEST)
 
     _stop(context, count, prepare)
 
@@ -146,8 +145,7 @@
 
     async def after():
         await asyncio.sleep(0.1)
-        for client in context.clients:
-            client.sendall(_REQUEST)
+        _send_all(context.clients, _REQUEST)
 
     _stop(context, count, prepare, after)
 
