Log what targets say about themselves

Change: the platform's dialect decodes both headers into a TargetState; the inbound proxy logs target-limit and target-names-leaving when they change, and counts requests to the target (arbutusstall_target_requests) beside the limit (arbutusstall_target_limit). An unreadable limit is logged as ignored. No decision is changed. Announced carries the start time of the target, so that a state belongs to one start.

--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -80,9 +80,10 @@
     Attributes:
         address: HTTP address of the target, ``IP:PORT``.
         slots: Number of requests that the target runs concurrently.
-        instance: Identifies one start of the target; empty if it gave
-            no identifier.
+        instance: Name of the target instance; empty if it gave none.
         cold_s: Remaining warm-up time after a cold start, in seconds.
+        born_ms: Start time of the target in milliseconds since the epoch;
+            zero if unknown.
     """
 
     service: str
@@ -91,6 +92,12 @@
     slots: int
     instance: str = ""
     cold_s: float = 0.0
+    born_ms: int = 0
+
+    @property
+    def start(self) -> str:
+        """Text that identifies this start of the target."""
+        return members.target_start(self.instance, self.born_ms)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_proxy/dialects.py
+++ b/src/arbutusstall/_proxy/dialects.py
@@ -107,6 +107,12 @@
         """Decode a target's response."""
         ...
 
+    def target_state(
+        self, target: _effects.Announced, response: http_messages.Response
+    ) -> messages.TargetState:
+        """Return what a target says about itself in a response."""
+        ...
+
     def answer(
         self, call: messages.CallRequest, answer: messages.CallAnswer
     ) -> http_messages.Response:
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -118,6 +118,8 @@
         self._pool: http_client.Pool | None = None
         self._stopping = False
         self._crash_count = 0
+        self._sent_count = 0
+        self._target_state: messages.TargetState | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._flusher: asyncio.TimerHandle | None = None
         call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
@@ -365,6 +367,8 @@
             self._on_target_timeout,
             running,
         )
+        call_metrics.TARGET_REQUESTS.inc()
+        self._sent_count += 1
         result.connection.send(
             http_messages.encode_request(request, ""),
             head_only=call.method == "HEAD",
@@ -390,6 +394,7 @@
             return
         if isinstance(outcome, http_messages.Response):
             answer = self._dialect.read_answer(call, outcome)
+            self._observe(running.target, outcome)
             self._finish(running, answer)
             misdirected = answer.not_run == admission.MISDIRECTED
             if misdirected and self._target is running.target:
@@ -402,6 +407,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _observe(
+        self, target: _effects.Announced, response: http_messages.Response
+    ) -> None:
+        """Note what the target says about itself in a response."""
+        if self._target is None or self._target.start != target.start:
+            return
+        state = self._dialect.target_state(target, response)
+        before, self._target_state = self._target_state, state
+        if before == state:
+            return
+        call_metrics.TARGET_LIMIT.set(state.limit_per_s or 0.0)
+        self._log.state_changed(target, before, state, self._sent_count)
+
     async def _diagnose_loss(
         self, running: _RunningCall, loss: errors.ArbutusstallError
     ) -> None:
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -239,6 +239,7 @@
             slots=announcement.slots,
             instance=announcement.instance,
             cold_s=announcement.cold_s,
+            born_ms=announcement.born_ms,
         )
         self._target = target
         self.inbound.set_target(target)
--- a/src/arbutusstall/_proxy/target_log.py
+++ b/src/arbutusstall/_proxy/target_log.py
@@ -62,6 +62,36 @@
             logging.WARNING,
         )
 
+    def state_changed(
+        self,
+        target: _effects.Announced,
+        before: messages.TargetState | None,
+        after: messages.TargetState,
+        sent: int,
+    ) -> None:
+        """Log what the target has begun or ceased to say about itself.
+
+        Args:
+            before: State in the answer before; None if there was none.
+            sent: Number of requests that were sent to the target so far.
+        """
+        before = before or messages.TargetState(start=after.start)
+        fields: dict[str, str | int | float] = {
+            "target": target.instance,
+            "sent": sent,
+        }
+        if before.limit_per_s != after.limit_per_s:
+            self._log.emit(
+                "target-limit",
+                {
+                    **fields,
+                    "before": _rate(before.limit_per_s),
+                    "limit": _rate(after.limit_per_s),
+                },
+            )
+        if after.leaving and not before.leaving:
+            self._log.emit("target-names-leaving", fields)
+
     def crashed(
         self,
         call: messages.CallRequest,
@@ -86,3 +116,7 @@
             },
             logging.WARNING,
         )
+
+
+def _rate(limit_per_s: float | None) -> str:
+    return "-" if limit_per_s is None else f"{limit_per_s:g}/s"
--- a/src/arbutusstall/_shell/call_metrics.py
+++ b/src/arbutusstall/_shell/call_metrics.py
@@ -18,6 +18,14 @@
     "Calls that the inbound proxy refused before they ran, by reason.",
     ("service", "reason"),
 )
+TARGET_REQUESTS = prometheus_client.Counter(
+    "arbutusstall_target_requests",
+    "Requests that the inbound proxy sent to its target.",
+)
+TARGET_LIMIT = prometheus_client.Gauge(
+    "arbutusstall_target_limit",
+    "Requests a second that the target takes; 0 if it sets no limit.",
+)
 RETRIES = prometheus_client.Counter(
     "arbutusstall_retries",
     "Attempts after the first one of a request.",
--- a/src/arbutusstall/_wire/call_messages.py
+++ b/src/arbutusstall/_wire/call_messages.py
@@ -12,6 +12,21 @@
 import msgspec
 
 
+class TargetState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What one start of a target says about itself in its answers.
+
+    Attributes:
+        start: The start, as `members.target_start` returns it.
+        limit_per_s: Requests a second that it takes from all callers
+            together; None if it sets no limit.
+        leaving: Whether it is about to stop.
+    """
+
+    start: str
+    limit_per_s: float | None = None
+    leaving: bool = False
+
+
 class CallRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One attempt to run a caller's request at an inbound proxy.
 
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -25,6 +25,7 @@
 from arbutusstall._wire.call_messages import KeyGrant
 from arbutusstall._wire.call_messages import KeyState
 from arbutusstall._wire.call_messages import RevokeState
+from arbutusstall._wire.call_messages import TargetState
 from arbutusstall._wire.tree_messages import Alive
 from arbutusstall._wire.tree_messages import Heartbeat
 from arbutusstall._wire.tree_messages import Hello
@@ -74,6 +75,7 @@
     "SnapshotWanted",
     "Suspect",
     "SuspectReport",
+    "TargetState",
     "Welcome",
     "decode",
     "encode",
--- a/src/arbutusstall/platform/dialect.py
+++ b/src/arbutusstall/platform/dialect.py
@@ -1,5 +1,8 @@
 """Headers and statuses used by the platform's clients and targets."""
 
+import logging
+import math
+
 from arbutusstall import _effects
 from arbutusstall import errors
 from arbutusstall._proxy import dialects
@@ -7,6 +10,8 @@
 from arbutusstall._systems import admission
 from arbutusstall._wire import messages
 
+LOG = logging.getLogger(__name__)
+
 _REQUEST_ID = "X-Request-Id"
 _DEADLINE = "X-Deadline-Ms"
 _TARGET_INSTANCE = "X-Target-Instance"
@@ -14,6 +19,8 @@
 _SIGNATURE = "x-response-signature"
 _NOT_EXECUTED = "x-not-executed"
 _CONTENT_ENCODING = "content-encoding"
+_LIMIT = "server-limit"
+_LEAVING = "server-leaving"
 _RETRY_AFTER = "Retry-After"
 # A target sends its own calls with the request id PARENT.CHILD, where PARENT
 # is the id of the request that it is running.
@@ -162,6 +169,19 @@
             body=response.body,
         )
 
+    def target_state(
+        self, target: _effects.Announced, response: http_messages.Response
+    ) -> messages.TargetState:
+        """Decode what a target says about itself in a response."""
+        headers = response.headers
+        limit = http_messages.get_header(headers, _LIMIT)
+        leaving = http_messages.get_header(headers, _LEAVING)
+        return messages.TargetState(
+            start=target.start,
+            limit_per_s=_parse_limit(limit, target) if limit else None,
+            leaving=leaving.strip() == "1",
+        )
+
     def answer(
         self, call: messages.CallRequest, answer: messages.CallAnswer
     ) -> http_messages.Response:
@@ -213,5 +233,23 @@
         raise _invalid(f"deadline {text!r}") from None
 
 
+def _parse_limit(text: str, target: _effects.Announced) -> float | None:
+    """Return a rate per second; None if ``text`` is not one."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if math.isfinite(limit_per_s) and limit_per_s >= 0.0:
+        return limit_per_s
+    LOG.warning(
+        {
+            "event": "target-limit-ignored",
+            "target": target.instance,
+            "reason": f"not a rate: {text!r}",
+        }
+    )
+    return None
+
+
 def _invalid(reason: str) -> errors.WireError:
     return errors.WireError(step="request.read", peer="-", reason=reason)
