--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -26,6 +26,9 @@
         signed: Whether answers carry a signature.
         shed: Whether it refuses requests as not executed.
         reset: Whether it runs requests but closes their connections.
+        limit_per_s: Limit that it names in its answers; None if it names
+            none.
+        leaving: Whether it says in its answers that it leaves.
     """
 
     delay_s: float = 0.0
@@ -33,6 +36,8 @@
     signed: bool = True
     shed: bool = False
     reset: bool = False
+    limit_per_s: float | None = None
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -196,6 +201,10 @@
             sock.shutdown(socket.SHUT_RDWR)
         response = wrappers.Response(f"{self.instance}\n", behaviour.status)
         response.headers["X-Request-Id"] = request_id
+        if behaviour.limit_per_s is not None:
+            response.headers["Server-Limit"] = f"{behaviour.limit_per_s:g}"
+        if behaviour.leaving:
+            response.headers["Server-Leaving"] = "1"
         if behaviour.signed:
             response.headers["X-Response-Signature"] = f"of-{self.instance}"
         return response
