Keep requests to targets within their limits

Cause: no part of the call path acted on the header.

Change: every request reaches a target through the node beside it, so that node alone can keep the sum of all callers: a token bucket in admission, which counts what starts at the target, with a reserve for nested calls and more urgent requests. What exceeds it is refused at once as not run, and says for how long its node should stay away; that time follows the rate of refusals. Balancing leaves such endpoints out for calls of that rank, and refuses at once if there is no other. The state goes back to the callers with each answer, and they send it along with their calls, so that a node that was restarted knows it from the first call on. It belongs to one start of the target.

--- a/features/steps/target_limits_steps.py
+++ b/features/steps/target_limits_steps.py
@@ -136,9 +136,13 @@
 )
 def nothing_later(context, seconds):
     """Check the requests that began at nodes that were not restarted."""
-    starts_s = _starts(context, others_only=True)
+    starts_s = _starts(context)
     assert starts_s, "it was never asked"
-    late = [at_s for at_s in starts_s if at_s > starts_s[0] + seconds]
+    late = [
+        at_s
+        for at_s in _starts(context, others_only=True)
+        if at_s > starts_s[0] + seconds
+    ]
     if late:
         context.platform.print_logs()
     assert not late, (len(late), late[0] - starts_s[0])
--- a/src/arbutusstall/_proxy/endpoint_choice.py
+++ b/src/arbutusstall/_proxy/endpoint_choice.py
@@ -35,15 +35,15 @@
     Attributes:
         member: The chosen endpoint; None if there is none.
         unreachable: Nodes to which no connection could be opened.
+        limited_ms: Time until an endpoint may take the call again, if all
+            of them are at their limits; 0 otherwise.
     """
 
     member: members.Member | None = None
+    limited_ms: int = 0
     unreachable: frozenset[str] = frozenset()
 
 
-NO_CHOICE = Choice()
-
-
 class EndpointChoice:
     """Chooses endpoints by load and by the state of their connections.
 
@@ -69,6 +69,7 @@
         service: str,
         version: str,
         tried: abc.Set[str],
+        rank: int,
         done: abc.Callable[[Choice], None],
     ) -> None:
         """Choose an endpoint, and call ``done`` once with the result.
@@ -84,10 +85,12 @@
             service: Service of the call.
             version: Version of the service.
             tried: Nodes that are excluded.
+            rank: Priority of the call, as in `messages.CallRequest`.
             done: Called with the result.
         """
+        now_s = self._loop.time()
         found = self._balancer.candidates(
-            view, service, version, self._loop.time(), tried
+            view, service, version, now_s, tried, rank
         )
         for row in found:
             if self._peers.is_ready(row):
@@ -96,7 +99,10 @@
                 done(Choice(member=row))
                 return
         if not found:
-            done(NO_CHOICE)
+            limited_s = self._balancer.limited_s(
+                view, service, version, now_s, rank
+            )
+            done(Choice(limited_ms=int(1000 * limited_s)))
             return
         unconnected = [row for row in found if not self._peers.is_suspect(row)]
         if not unconnected:
@@ -117,7 +123,10 @@
         self._balancer.record_failure(node, self._loop.time(), unreachable)
 
     def record_answer(
-        self, node: str, route: str, answer: messages.CallAnswer
+        self,
+        node: str,
+        call: messages.CallRequest,
+        answer: messages.CallAnswer,
     ) -> None:
         """Record the load and the outcome that an answer reports."""
         if answer.not_run in _OUT_OF_SERVICE_REASONS:
@@ -131,11 +140,15 @@
         report = balancing.AnswerReport(
             in_flight=answer.in_flight,
             slots=answer.slots,
-            route=route,
+            route=call.route,
             taken_ms=0 if answer.not_run else answer.taken_ms,
             failed=answer.status >= _SERVER_ERROR,
         )
-        self._balancer.record_answer(node, report, self._loop.time())
+        now_s = self._loop.time()
+        self._balancer.record_answer(node, report, now_s)
+        if answer.not_run == admission.OVER_LIMIT:
+            wait_s = answer.retry_after_ms / 1000
+            self._balancer.record_limited(node, call.rank, wait_s, now_s)
 
     def _prepare(self, row: members.Member) -> None:
         self._peers.prepare(row, lambda: self._record_unreachable(row.node))
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -14,6 +14,7 @@
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import target_log
 from arbutusstall._proxy import target_probe
+from arbutusstall._proxy import target_states
 from arbutusstall._shell import call_metrics
 from arbutusstall._shell import events
 from arbutusstall._shell import outcome_counter
@@ -119,7 +120,9 @@
         self._stopping = False
         self._crash_count = 0
         self._sent_count = 0
-        self._target_state: messages.TargetState | None = None
+        self._target_state = target_states.LocalTargetState(
+            self.admission.limit, self._log
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._flusher: asyncio.TimerHandle | None = None
         call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
@@ -155,6 +158,7 @@
             return
         old, self._target = self._target, target
         self.admission.slots = target.slots
+        self._target_state.set_target(target, self.now_ms())
         self.admission.draining = False
         same = old is not None and (
             (old.address, old.instance) == (target.address, target.instance)
@@ -215,6 +219,7 @@
         """
         now_ms = self.now_ms()
         target = self._target
+        self._learn_from_caller(call)
         fingerprint = arrivals.fingerprint(call)
         attempt_id = arrivals.attempt_id(call)
         treatment = self._suspects.treatment(fingerprint, time.time())
@@ -254,6 +259,7 @@
 
     def refusal_reason(self, call: messages.CallRequest) -> str:
         """Return why a call would be refused now; empty if it would not."""
+        self._learn_from_caller(call)
         normal = quarantine.Treatment.NORMAL
         reason = arrivals.refusal_reason(call, self._target, normal)
         return reason or self.admission.would_refuse(
@@ -393,8 +399,11 @@
         if call.call_id not in self._running_by_id:
             return
         if isinstance(outcome, http_messages.Response):
-            answer = self._dialect.read_answer(call, outcome)
-            self._observe(running.target, outcome)
+            state = self._dialect.target_state(running.target, outcome)
+            self._learn_from_answer(state)
+            answer = self._target_state.annotate(
+                self._dialect.read_answer(call, outcome), call
+            )
             self._finish(running, answer)
             misdirected = answer.not_run == admission.MISDIRECTED
             if misdirected and self._target is running.target:
@@ -407,18 +416,24 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _observe(
-        self, target: _effects.Announced, response: http_messages.Response
-    ) -> None:
-        """Note what the target says about itself in a response."""
-        if self._target is None or self._target.start != target.start:
-            return
-        state = self._dialect.target_state(target, response)
-        before, self._target_state = self._target_state, state
-        if before == state:
-            return
-        call_metrics.TARGET_LIMIT.set(state.limit_per_s or 0.0)
-        self._log.state_changed(target, before, state, self._sent_count)
+    def _learn_from_answer(self, state: messages.TargetState) -> None:
+        self._target_state.learn_from_answer(
+            state, self._sent_count, self.now_ms()
+        )
+        self._apply_target_state()
+
+    def _learn_from_caller(self, call: messages.CallRequest) -> None:
+        self._target_state.learn_from_caller(
+            call.target_state, self._sent_count, self.now_ms()
+        )
+        self._apply_target_state()
+
+    def _apply_target_state(self) -> None:
+        """Refuse the calls that the target's state no longer allows."""
+        for call_id in self.admission.remove_excess(self.now_ms()):
+            self._refuse_queued(
+                self._running_by_id[call_id], admission.OVER_LIMIT
+            )
 
     async def _diagnose_loss(
         self, running: _RunningCall, loss: errors.ArbutusstallError
@@ -532,6 +547,7 @@
     ) -> None:
         if answer.not_run:
             call_metrics.REFUSALS.labels(call.service, answer.not_run).inc()
+        answer = self._target_state.annotate(answer, call)
         done(
             arrivals.with_load(answer, self.admission, self.now_ms(), taken_ms)
         )
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -18,6 +18,7 @@
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import peers as peer_links
+from arbutusstall._proxy import target_states
 from arbutusstall._shell import call_metrics
 from arbutusstall._shell import events
 from arbutusstall._systems import admission
@@ -133,6 +134,7 @@
         self._choice = endpoint_choice.EndpointChoice(
             settings.data_centre, peers, self._rng
         )
+        self._target_states = target_states.RemoteTargetStates()
         self._caller_waits = caller_waits.CallerWaits()
         self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
         self._numbers = itertools.count(1)
@@ -249,6 +251,7 @@
             service,
             version,
             running.tried_nodes,
+            running.call.rank,
             lambda choice: self._on_choice(running, version, choice),
         )
 
@@ -264,6 +267,9 @@
         if choice.member is not None and left_ms > 0:
             self._send(running, version, choice.member, left_ms)
             return
+        if choice.limited_ms:
+            self._give_up(running, _over_limit_attempt(choice.limited_ms))
+            return
         if not choice.unreachable:
             self._give_up(running, running.last or _NO_ENDPOINT_ATTEMPT)
             return
@@ -292,6 +298,7 @@
             version=version,
             deadline_ms=left_ms,
             aim_ms=self._aim_ms(running),
+            target_state=self._target_states.get(member.node),
         )
         running.tried_nodes.add(member.node)
         self._choice.record_sent(member.node)
@@ -313,7 +320,8 @@
         if running.ended:
             return
         if isinstance(result, messages.CallAnswer):
-            self._choice.record_answer(member.node, running.call.route, result)
+            self._target_states.record(member.node, result.target_state)
+            self._choice.record_answer(member.node, running.call, result)
             self._decide(running, _attempt_from_answer(running.call, result))
         elif isinstance(result, errors.PeerUnavailable):
             self._choice.record_failure(member.node, unreachable=True)
@@ -353,6 +361,10 @@
             return
         state = revoked.state.value if revoked else "no answer"
         call_metrics.REVOCATIONS.labels(state).inc()
+        if revoked is not None and revoked.answer and running.member:
+            self._target_states.record(
+                running.member.node, revoked.answer.target_state
+            )
         self._decide(running, attempts.from_revocation(revoked, reason))
 
     def _decide(
@@ -556,6 +568,14 @@
     return attempt
 
 
+def _over_limit_attempt(limited_ms: int) -> attempts.Attempt:
+    return attempts.Attempt(
+        state=attempts.AttemptState.NOT_RUN,
+        reason=admission.OVER_LIMIT,
+        retry_after_ms=limited_ms,
+    )
+
+
 def _build_call(
     incoming: dialects.IncomingRequest,
     route: agreed.Route,
--- a/src/arbutusstall/_proxy/target_log.py
+++ b/src/arbutusstall/_proxy/target_log.py
@@ -90,7 +90,7 @@
                 },
             )
         if after.leaving and not before.leaving:
-            self._log.emit("target-names-leaving", fields)
+            self._log.emit("target-tells-leaving", fields)
 
     def crashed(
         self,
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -5,6 +5,7 @@
 import enum
 
 from arbutusstall._systems import demand
+from arbutusstall._systems import rate_limit
 from arbutusstall._systems import revocation
 from arbutusstall._wire import messages
 
@@ -16,6 +17,7 @@
 UNREACHABLE = "target unreachable"
 SHED = "target shed load"
 MISDIRECTED = "another target has the address"
+OVER_LIMIT = "over the limit of the target"
 
 _SMOOTHING = 0.1
 _INITIAL_RUN_MS = 10.0
@@ -91,6 +93,7 @@
     Attributes:
         table: Call table that admits each call id at most once.
         slots: Number of requests that the target runs concurrently.
+        limit: Rate of requests that the target allows.
         draining: Whether new requests are refused.
         pending_bodies: Number of requests whose bodies have not arrived
             completely.
@@ -111,6 +114,7 @@
     ) -> None:
         self.table = table
         self.slots = slots
+        self.limit = rate_limit.RateLimit()
         self.draining = False
         self.pending_bodies = 0
         self._queue_limit = queue
@@ -179,6 +183,9 @@
             return self.refuse(attempt_id, DRAINING, now_ms)
         if now_ms - attempt_id.sent_ms > deadline_ms:
             return self.refuse(attempt_id, LATE, now_ms)
+        if not self.limit.has_room(rank, len(self._queue), now_ms):
+            wait_ms = self.limit.record_refused(now_ms)
+            return self.refuse(attempt_id, OVER_LIMIT, now_ms, wait_ms)
         index = self._queue_index(rank)
         must_wait = self._must_wait(exclusive)
         max_wait_ms = self._max_wait_ms(route, deadline_ms, aim_ms)
@@ -215,6 +222,8 @@
         """
         if self.draining:
             return DRAINING
+        if not self.limit.has_room(rank, len(self._queue), now_ms):
+            return OVER_LIMIT
         max_wait_ms = self._max_wait_ms(route, deadline_ms, aim_ms)
         must_wait = self._must_wait(exclusive=False)
         if must_wait and self._should_refuse(rank, max_wait_ms, now_ms):
@@ -257,6 +266,20 @@
         self.table.withdraw(call_id, now_ms)
         return True
 
+    def remove_excess(self, now_ms: int) -> tuple[str, ...]:
+        """Remove the queued requests that exceed the target's limit.
+
+        Those that would start last are removed. Their ids are returned;
+        the caller must refuse them.
+        """
+        excess = self.limit.count_excess(len(self._queue), now_ms)
+        kept = len(self._queue) - excess
+        removed = tuple(item.call_id for item in self._queue[kept:])
+        self._queue = self._queue[:kept]
+        for call_id in removed:
+            self.table.withdraw(call_id, now_ms)
+        return removed
+
     def release_slot(self, call_id: str, now_ms: int) -> tuple[str, ...]:
         """Free the slot of a request; return the ids that start now."""
         started = self._running_by_id.pop(call_id)
@@ -318,6 +341,7 @@
     ) -> bool:
         if not self.table.start(call_id, now_ms):
             return False
+        self.limit.record_sent(now_ms)
         self._demand.record_started(rank, self._expected_run_ms(route), now_ms)
         self._running_by_id[call_id] = _Running(at_ms=now_ms, route=route)
         if exclusive:
@@ -433,6 +457,7 @@
         UNREACHABLE,
         SHED,
         MISDIRECTED,
+        OVER_LIMIT,
         revocation.WRONG_INCARNATION,
         revocation.TOO_OLD,
     }
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -67,6 +67,9 @@
         ejected_until_s: Monotonic time at which the ejection ends.
         first_seen_s: Monotonic time at which the endpoint was first
             listed; minus infinity if it was listed from the start.
+        limited_until_s: Monotonic time until which it is at the limit of
+            its rate.
+        limited_rank: Calls of this rank or a higher one are over the limit.
     """
 
     outstanding: int = 0
@@ -79,6 +82,8 @@
     ejections: int = 0
     ejected_until_s: float = -math.inf
     first_seen_s: float = -math.inf
+    limited_until_s: float = -math.inf
+    limited_rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -170,12 +175,13 @@
         version: str,
         now_s: float,
         tried: abc.Set[str] = frozenset(),
+        rank: int = 0,
     ) -> members.Member | None:
         """Return the endpoint with the lowest cost, or None.
 
-        Nodes in ``tried`` are excluded.
+        The arguments are those of `candidates`.
         """
-        found = self.candidates(view, service, version, now_s, tried)
+        found = self.candidates(view, service, version, now_s, tried, rank)
         return found[0] if found else None
 
     def candidates(
@@ -185,11 +191,15 @@
         version: str,
         now_s: float,
         tried: abc.Set[str] = frozenset(),
+        rank: int = 0,
     ) -> list[members.Member]:
         """Return a random selection of endpoints, lowest cost first.
 
         Nodes in ``tried`` are excluded. Ejected endpoints are excluded
-        as well, unless too many are ejected.
+        as well, unless too many are ejected, and so are those that are at
+        their limit for calls of ``rank``. A nested call gets the one whose
+        limit ends first if there is no other: refusing it would waste the
+        work of the request above it.
         """
         found = self._endpoints(view, service, version)
         if not tried and now_s >= self._settled_from_s:
@@ -200,6 +210,11 @@
             for row in self._available(found.local + found.remote, now_s)
             if row.node not in tried
         ]
+        limited = [row for row in rows if self._is_limited(row, rank, now_s)]
+        if limited and len(limited) == len(rows):
+            limited.sort(key=lambda row: self._get(row.node).limited_until_s)
+            return limited[:1] if rank < 0 else []
+        rows = [row for row in rows if row not in limited]
         local = [row for row in rows if row.data_centre == self._data_centre]
         remote = [row for row in rows if row.data_centre != self._data_centre]
         drawn = self._draw_with_slow_start(
@@ -210,6 +225,46 @@
         remote_cost = _REMOTE_RETRY_COST if tried else _REMOTE_COST
         return self._sort_by_cost(drawn, now_s, remote_cost)
 
+    def limited_s(
+        self,
+        view: _effects.View,
+        service: str,
+        version: str,
+        now_s: float,
+        rank: int,
+    ) -> float:
+        """Return the time until an endpoint leaves its limit, in seconds.
+
+        The result is 0 if none is at its limit for calls of ``rank``.
+        """
+        found = self._endpoints(view, service, version)
+        return min(
+            (
+                self._get(row.node).limited_until_s - now_s
+                for row in found.local + found.remote
+                if self._is_limited(row, rank, now_s)
+            ),
+            default=0.0,
+        )
+
+    def record_limited(
+        self, node: str, rank: int, wait_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint is at its limit for calls of ``rank``.
+
+        Args:
+            wait_s: Time that the endpoint asked to wait, in seconds. It is
+                randomized, so that callers do not come back together.
+        """
+        old = self._get(node)
+        until_s = now_s + wait_s * self._rng.uniform(0.75, 1.25)
+        if old.limited_until_s > now_s:
+            rank = min(rank, old.limited_rank)
+        self._stats_by_node[node] = msgspec.structs.replace(
+            old, limited_until_s=until_s, limited_rank=rank
+        )
+        self._settled_from_s = max(self._settled_from_s, until_s)
+
     def record_sent(self, node: str) -> None:
         """Record that a call was sent to ``node``."""
         old = self._get(node)
@@ -246,6 +301,8 @@
             latency_ratio=latency_ratio,
             error_rate=error_rate,
             first_seen_s=old.first_seen_s,
+            limited_until_s=old.limited_until_s,
+            limited_rank=old.limited_rank,
         )
 
     def record_unreachable(self, node: str, now_s: float) -> None:
@@ -326,6 +383,12 @@
             available = sorted(rows, key=until_s)[:min_count]
         return available
 
+    def _is_limited(
+        self, row: members.Member, rank: int, now_s: float
+    ) -> bool:
+        stats = self._get(row.node)
+        return now_s < stats.limited_until_s and rank >= stats.limited_rank
+
     def _draw_with_slow_start(
         self, rows: list[members.Member], now_s: float
     ) -> list[members.Member]:
--- a/src/arbutusstall/_wire/call_messages.py
+++ b/src/arbutusstall/_wire/call_messages.py
@@ -49,6 +49,8 @@
         body_bytes: Length of a body that is sent separately, once the
             inbound proxy has requested it; 0 if ``body`` holds all of
             it.
+        target_state: What the target last said about itself in an answer
+            to this caller's proxy; None if nothing that restricts calls.
     """
 
     call_id: str
@@ -69,6 +71,7 @@
     rank: int = 0
     aim_ms: int = 0
     body_bytes: int = 0
+    target_state: TargetState | None = None
 
 
 class CallBody(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -98,6 +101,8 @@
         clock_ms: The inbound proxy's clock when the answer was sent.
         taken_ms: Milliseconds that the target took; 0 if the request was
             not sent to it.
+        target_state: What the target says about itself; None if nothing
+            that restricts calls.
     """
 
     call_id: str
@@ -113,6 +118,7 @@
     incarnation: int = 0
     clock_ms: int = 0
     taken_ms: int = 0
+    target_state: TargetState | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
