Drain targets that tell their stop in answers

What callers saw: requests went to a target that was about to stop, and were cut when it did, if its announcement had not arrived.

The node beside it knew of a stop only from heartbeats.

Change: the node beside a target drains it at the first such answer, records the departure in the roster and in its row, and heartbeats of that start do not put it back.

--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -26,6 +26,7 @@
 
 AnswerCallback = abc.Callable[[messages.CallAnswer], None]
 RevokedCallback = abc.Callable[[messages.CallRevoked], None]
+LeavingCallback = abc.Callable[[str], None]
 
 CANCELLED = "cancelled by the caller"
 CRASHED = "target crashed"
@@ -78,6 +79,10 @@
         put: Queues events for the decision logic.
         bodies: Bounds the bodies that the process holds; if None, the
             proxy gets a budget of its own.
+
+    Attributes:
+        on_leaving: Called with the instance of a target that says in an
+            answer that it is about to stop.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
     ) -> None:
         calls = settings.calls
         self.incarnation = incarnation
+        self.on_leaving: LeavingCallback | None = None
         self._settings = settings
         self._dialect = dialect
         self._put = put
@@ -159,7 +165,7 @@
         old, self._target = self._target, target
         self.admission.slots = target.slots
         self._target_state.set_target(target, self.now_ms())
-        self.admission.draining = False
+        self.admission.draining = self._target_state.leaving
         same = old is not None and (
             (old.address, old.instance) == (target.address, target.instance)
         )
@@ -417,23 +423,30 @@
         task.add_done_callback(self._tasks.discard)
 
     def _learn_from_answer(self, state: messages.TargetState) -> None:
+        was_leaving = self._target_state.leaving
         self._target_state.learn_from_answer(
             state, self._sent_count, self.now_ms()
         )
-        self._apply_target_state()
+        self._apply_target_state(was_leaving)
 
     def _learn_from_caller(self, call: messages.CallRequest) -> None:
+        was_leaving = self._target_state.leaving
         self._target_state.learn_from_caller(
             call.target_state, self._sent_count, self.now_ms()
         )
-        self._apply_target_state()
+        self._apply_target_state(was_leaving)
 
-    def _apply_target_state(self) -> None:
+    def _apply_target_state(self, was_leaving: bool) -> None:
         """Refuse the calls that the target's state no longer allows."""
         for call_id in self.admission.remove_excess(self.now_ms()):
             self._refuse_queued(
                 self._running_by_id[call_id], admission.OVER_LIMIT
             )
+        if was_leaving or not self._target_state.leaving:
+            return
+        self.drain_target()
+        if self.on_leaving is not None and self._target is not None:
+            self.on_leaving(self._target.instance)
 
     async def _diagnose_loss(
         self, running: _RunningCall, loss: errors.ArbutusstallError
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -92,6 +92,7 @@
             self.log,
             budget,
         )
+        self.inbound.on_leaving = self._on_target_leaving
         self.outbound = outbound.Outbound(
             settings,
             environment.dialect,
@@ -231,6 +232,12 @@
         departure = self._announcements.leave(instance, wall_ms)
         await self._record_departure(departure, "left")
 
+    def _on_target_leaving(self, instance: str) -> None:
+        """Record a departure that the target has told in an answer only."""
+        wall_ms = time.time_ns() // 1_000_000
+        departure = self._announcements.leave(instance, wall_ms)
+        self._spawn(self._record_departure(departure, "told in an answer"))
+
     def _set_target(self, announcement: announcements.Announcement) -> None:
         target = _effects.Announced(
             service=announcement.service,
