Refuse what a planned stop could cut

What callers saw: a booking whose last bytes arrived late in a planned stop, or that waited on its connection behind a longer one, was passed on, and its connection was closed without an answer when the time for the stop was over.

Cause: the listener closes early, but connections that it had accepted went on taking requests until the end; a connection with a partial request did not count as busy, so it was cut even sooner.

Change: from a quarter of a second after the listener has closed a complete request is refused as not run, with a time to come back (nested calls of running requests are excepted); a partial one is waited for; what still runs at the end gets 504, or 503 if it was never sent.

Measured: the three scenarios at the end of stops.feature failed before (no answer at all) and pass.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -20,3 +20,22 @@
     Given a server in this process
     When 20 clients have used connections and it stops listening
     Then no connection is left open after 0.1 seconds
+
+  # Guards against: bookings that arrive late in a planned stop are passed on
+  # and cut without an answer when the time for the stop is over.
+  Scenario Outline: a booking that is due late in a planned stop is refused
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When a node is stopped and a booking <arrives>
+    Then the booking gets 503 with a time to retry, and it never runs
+
+    Examples:
+      | arrives                            |
+      | is completed 2.8 seconds later     |
+      | waits behind one that takes longer |
+
+  Scenario: a booking that runs at the end of a planned stop is answered
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When a node is stopped and a booking runs for longer than that may take
+    Then the booking gets 504 and ran once
--- a/src/arbutusstall/_proxy/http_server.py
+++ b/src/arbutusstall/_proxy/http_server.py
@@ -19,9 +19,10 @@
 LOG = logging.getLogger(__name__)
 
 _BACKLOG = 1_024
-# Time in which the first request on a new connection is expected while the
-# server closes.
-_FIRST_REQUEST_S = 0.25
+FIRST_REQUEST_S = 0.25
+"""Time in which the first request on a new connection is expected while the
+server closes."""
+
 _SWEEP_INTERVAL_S = 0.5
 _MAX_PIPELINED = 16
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -113,12 +114,13 @@
     def busy(self) -> int:
         """Number of connections with a request that has no answer yet.
 
-        While the server is closing, connections whose first request may
-        still arrive count as well.
+        While the server is closing, connections count as well whose
+        request has arrived in part, or whose first request may still
+        arrive.
         """
         accepting = len(self._accepting)
         return accepting + sum(
-            connection.busy or (self.closing and connection.is_new)
+            connection.busy or (self.closing and connection.is_expecting)
             for connection in self._connections
         )
 
@@ -146,7 +148,7 @@
             self._server.close()
             self._server = None
         self._close_idle()
-        self.loop.call_later(_FIRST_REQUEST_S, self._close_idle)
+        self.loop.call_later(FIRST_REQUEST_S, self._close_idle)
 
     def close(self) -> None:
         """Close the listener and abort all connections."""
@@ -224,10 +226,11 @@
         return self._current is not None
 
     @property
-    def is_new(self) -> bool:
-        """Whether the first request may still be on its way."""
+    def is_expecting(self) -> bool:
+        """Whether a request has arrived in part, or a first one may come."""
         age_s = self._server.loop.time() - self._made_s
-        return not self._used and age_s < _FIRST_REQUEST_S
+        is_new = not self._used and age_s < FIRST_REQUEST_S
+        return self._reading or is_new
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -340,7 +343,7 @@
             self._begin(*self._pipelined.popleft())
 
     def close_if_idle(self) -> None:
-        if self._current is not None or self._reading or self.is_new:
+        if self._current is not None or self.is_expecting:
             return
         if self._transport is not None and not self._has_unread():
             self._transport.close()
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -174,7 +174,9 @@
     async def stop(self) -> None:
         """Drain, then close everything.
 
-        Requests in flight may finish until the grace period is over.
+        Requests in flight may finish until the grace period is over; what
+        arrives later than the first requests of new connections could be
+        cut by its end and is refused.
         """
         began_s = self._loop.time()
         self._stopping = True
@@ -186,14 +188,17 @@
         self._control.put(_effects.Left(reason="node stops", stopping=True))
         await asyncio.sleep(self._environment.notice_s)
         self._caller_server.close_listener()
+        self._loop.call_later(
+            http_server.FIRST_REQUEST_S, self.outbound.refuse_new
+        )
         end_s = began_s + self._environment.grace_s
         while self._is_busy() and self._loop.time() < end_s:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        self.outbound.close()
         self._caller_server.close()
         self._admin_server.close()
         self._frame_server.close()
         self.inbound.stop()
-        self.outbound.close()
         self._log_worker.stop()
         self._source_worker.stop()
         await asyncio.sleep(0)
--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -35,6 +35,7 @@
 TOO_DEEP = "too deep"
 UNREACHABLE = "no endpoint is reachable"
 TIMED_OUT = "no answer in time"
+STOPPING = "node stops"
 
 _SAFE_METHODS = frozenset({"GET", "HEAD"})
 # An answer that arrives shortly after the deadline is still passed on.
@@ -43,6 +44,8 @@
 # any work. They have this limit of their own and use no retry budget.
 _MAX_REFUSALS = 3
 _NO_ENDPOINT_RETRY_MS = 300
+# The platform sends callers to other nodes by then.
+_STOPPING_RETRY_MS = 100
 # After this time without a connection to any endpoint, a request is
 # refused rather than held while further endpoints are tried.
 _MAX_CONNECT_MS = 200
@@ -65,6 +68,11 @@
     reason=UNREACHABLE,
     retry_after_ms=_NO_ENDPOINT_RETRY_MS,
 )
+_STOPPING_ATTEMPT = attempts.Attempt(
+    state=attempts.AttemptState.NOT_RUN,
+    reason=STOPPING,
+    retry_after_ms=_STOPPING_RETRY_MS,
+)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -72,6 +80,7 @@
     """A caller's request without an answer, and its current attempt.
 
     Attributes:
+        number: Number of this request, unique within the process.
         call: The call of the current attempt.
         end_s: Loop time of the deadline.
         nested: Whether the local target makes the request while it
@@ -85,6 +94,7 @@
         member: Endpoint of the current attempt.
     """
 
+    number: int
     exchange: http_server.Exchange
     incoming: dialects.IncomingRequest
     route: agreed.Route
@@ -138,7 +148,8 @@
         self._caller_waits = caller_waits.CallerWaits()
         self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
         self._numbers = itertools.count(1)
-        self._in_flight = 0
+        self._running_by_number: dict[int, _RunningRequest] = {}
+        self._is_stopping = False
 
     @property
     def view(self) -> _effects.View:
@@ -148,7 +159,7 @@
     @property
     def in_flight(self) -> int:
         """Number of requests that have no answer yet."""
-        return self._in_flight
+        return len(self._running_by_number)
 
     def put_in_force(self, effect: _effects.PutInForce) -> None:
         """Route new calls by the effect's view."""
@@ -192,10 +203,22 @@
             self._reject(exchange, kind, request_id, TOO_DEEP)
             return
         running = self._admit(exchange, incoming, route)
+        if self._is_stopping and not running.nested:
+            self._give_up(running, _STOPPING_ATTEMPT)
+            return
         self._attempt(running)
 
+    def refuse_new(self) -> None:
+        """Refuse new requests from now on, since the node stops.
+
+        Nested calls are excepted: the requests above them have begun.
+        """
+        self._is_stopping = True
+
     def close(self) -> None:
-        """Close the connections to other nodes."""
+        """Answer the requests in flight and close the connections."""
+        for running in list(self._running_by_number.values()):
+            self._end_unanswered(running, STOPPING)
         self._peers.close()
 
     def _admit(
@@ -219,6 +242,7 @@
             )
         self._retry_budget(service).deposit()
         running = _RunningRequest(
+            number=next(self._numbers),
             exchange=exchange,
             incoming=incoming,
             route=route,
@@ -232,7 +256,7 @@
             running.end_s + _LATE_ANSWER_GRACE_S, self._on_timeout, running
         )
         exchange.on_cancelled = lambda: self._on_cancelled(running)
-        self._in_flight += 1
+        self._running_by_number[running.number] = running
         return running
 
     def _attempt(self, running: _RunningRequest) -> None:
@@ -431,8 +455,11 @@
 
     def _on_timeout(self, running: _RunningRequest) -> None:
         running.timer = None
-        if running.ended:
-            return
+        if not running.ended:
+            self._end_unanswered(running, TIMED_OUT)
+
+    def _end_unanswered(self, running: _RunningRequest, reason: str) -> None:
+        """Answer a request whose current attempt has not ended."""
         if running.peer is not None:
             running.peer.cancel(running.call)
         if running.member is None:
@@ -443,9 +470,7 @@
             running,
             attempts.Step.REPORT_UNKNOWN,
             dialects.FailureKind.TIMEOUT,
-            attempts.Attempt(
-                state=attempts.AttemptState.LOST, reason=TIMED_OUT
-            ),
+            attempts.Attempt(state=attempts.AttemptState.LOST, reason=reason),
         )
 
     def _on_cancelled(self, running: _RunningRequest) -> None:
@@ -489,7 +514,7 @@
     def _finish(self, running: _RunningRequest, outcome: str) -> None:
         running.ended = True
         running.exchange.on_cancelled = None
-        self._in_flight -= 1
+        del self._running_by_number[running.number]
         if running.timer is not None:
             running.timer.cancel()
             running.timer = None
