--- a/src/arbutusstall/_systems/rate_limit.py
+++ b/src/arbutusstall/_systems/rate_limit.py
@@ -1,8 +1,11 @@
 """Keeps the requests to a target within the rate that it allows."""
 
 # Requests of this time may be sent at once after an idle period.
-_BURST_S = 0.25
-_MIN_BURST = 1.0
+_BURST_S = 0.5
+_MIN_BURST = 2.0
+# The bucket's content when a limit is new: what was sent before, perhaps by
+# an earlier process, is not known.
+_INITIAL_TOKENS = 1.0
 # A target that allows nothing is still asked now and then, since only an
 # answer can tell that the limit has ended.
 _MIN_RATE_PER_S = 0.25
@@ -13,7 +16,7 @@
 # So many refusals a second cost too little to keep callers away for longer.
 _FREE_REFUSALS_PER_S = 10.0
 _MIN_RETRY_AFTER_MS = 20.0
-_MAX_RETRY_AFTER_MS = 2_000.0
+_MAX_RETRY_AFTER_MS = 8_000.0
 _INITIAL_RETRY_AFTER_MS = 100.0
 
 
@@ -27,7 +30,7 @@
 
     def __init__(self) -> None:
         self._rate_per_s: float | None = None
-        self._tokens = _MIN_BURST
+        self._tokens = _INITIAL_TOKENS
         self._filled_ms = 0
         self._interval_began_ms = 0
         self._refusals = 0
@@ -39,9 +42,7 @@
             self._rate_per_s = None
             return
         if self._rate_per_s is None:
-            # What was sent before the limit was known is not counted, so
-            # the bucket starts almost empty.
-            self._tokens = _MIN_BURST
+            self._tokens = _INITIAL_TOKENS
             self._filled_ms = now_ms
             self._retry_after_ms = _INITIAL_RETRY_AFTER_MS
         self._fill(now_ms)
