--- a/features/steps/bodies_steps.py
+++ b/features/steps/bodies_steps.py
@@ -7,6 +7,7 @@
 import socket
 
 import behave
+import calls
 import fleet
 import msgspec
 import ports
@@ -27,21 +28,7 @@
 
 _TIMEOUT_S = 10.0
 _READS = node_settings.ReadSettings()
-_CALL = messages.CallRequest(
-    call_id="",
-    request_id="",
-    incarnation=1,
-    sent_ms=0,
-    service="maturacao",
-    version="v1",
-    route="a.example/x/",
-    method="POST",
-    path="/x/1",
-    headers=(),
-    body=b"",
-    deadline_ms=5_000,
-    idempotent=False,
-)
+_CALL = calls.booking(service="maturacao", deadline_ms=5_000)
 
 
 @behave.given("{count:d} bodies may be in transit at the same time")
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -9,6 +9,7 @@
 from arbutusstall import _effects
 from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._systems import quarantine
 from arbutusstall._tables import members
 
@@ -223,7 +224,7 @@
 def chosen_under_load(context, place, calls, slots):
     """Report the load of the near endpoints and check the choices."""
     for name in ("near-0", "near-1"):
-        report = balancing.AnswerReport(in_flight=calls, slots=slots)
+        report = endpoint_stats.AnswerReport(in_flight=calls, slots=slots)
         context.balancer.record_answer(name, report, _NOW_S)
     assert set(_chosen_nodes(context)) == {f"{place}-0", f"{place}-1"}
 
--- a/features/steps/pauses_steps.py
+++ b/features/steps/pauses_steps.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import behave
+import calls
 import fleet
 import msgspec
 
@@ -22,26 +23,11 @@
 from arbutusstall._shell import events
 from arbutusstall._systems import lease
 from arbutusstall._tables import agreed
-from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 
 _MAX_DELAY_S = 1.0
 _TIMEOUT_S = 10.0
-_CALL = messages.CallRequest(
-    call_id="",
-    request_id="",
-    incarnation=1,
-    sent_ms=0,
-    service="kvoty",
-    version="v1",
-    route="a.example/x/",
-    method="POST",
-    path="/x/1",
-    headers=(),
-    body=b"",
-    deadline_ms=2_000,
-    idempotent=False,
-)
+_CALL = calls.BOOKING
 
 
 class _SuspendableClock:
--- a/features/steps/pressure_steps.py
+++ b/features/steps/pressure_steps.py
@@ -13,6 +13,7 @@
 from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
 from arbutusstall._systems import caller_waits
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._systems import revocation
 from arbutusstall._tables import members
 
@@ -397,7 +398,7 @@
             row = self.balancer.choose(self.view, "kvoty", "v1", self.now_s)
             self.counts[row.node] += 1
             self.balancer.record_sent(row.node)
-            report = balancing.AnswerReport(
+            report = endpoint_stats.AnswerReport(
                 in_flight=1,
                 slots=8,
                 route="r",
@@ -582,7 +583,7 @@
     """Report the load of each endpoint with an answer."""
     traffic = context.traffic
     for row in traffic.view.members_by_service["kvoty"]:
-        report = balancing.AnswerReport(
+        report = endpoint_stats.AnswerReport(
             in_flight=8 + count if row.node.startswith("near") else 0,
             slots=8,
             route="r",
--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -3,32 +3,18 @@
 import asyncio
 
 import behave
+import calls
 import fleet
 import msgspec
 
 from arbutusstall import _effects
 from arbutusstall._proxy import inbound
 from arbutusstall._shell import events
-from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 
 _TIMEOUT_S = 5.0
 _PAUSE_S = 0.05
-_CALL = messages.CallRequest(
-    call_id="",
-    request_id="",
-    incarnation=1,
-    sent_ms=0,
-    service="prodej",
-    version="v1",
-    route="a.example/x/",
-    method="POST",
-    path="/x/1",
-    headers=(),
-    body=b"",
-    deadline_ms=1_000,
-    idempotent=False,
-)
+_CALL = calls.booking(service="prodej", deadline_ms=1_000)
 _REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\n"
     b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/src/arbutusstall/_proxy/endpoint_choice.py
+++ b/src/arbutusstall/_proxy/endpoint_choice.py
@@ -4,12 +4,14 @@
 from collections import abc
 import dataclasses
 import functools
+import math
 import random
 
 from arbutusstall import _effects
 from arbutusstall._proxy import peers as peer_links
 from arbutusstall._systems import admission
 from arbutusstall._systems import balancing
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._tables import members
 from arbutusstall._wire import messages
 
@@ -102,7 +104,7 @@
             limited_s = self._balancer.limited_s(
                 view, service, version, now_s, rank
             )
-            done(Choice(limited_ms=int(1000 * limited_s)))
+            done(Choice(limited_ms=math.ceil(1000 * limited_s)))
             return
         unconnected = [row for row in found if not self._peers.is_suspect(row)]
         if not unconnected:
@@ -137,7 +139,7 @@
             return
         # A server error may stem from a call that the target made itself.
         # It raises the endpoint's cost but does not eject the endpoint.
-        report = balancing.AnswerReport(
+        report = endpoint_stats.AnswerReport(
             in_flight=answer.in_flight,
             slots=answer.slots,
             route=call.route,
--- a/src/arbutusstall/_shell/dispatch.py
+++ b/src/arbutusstall/_shell/dispatch.py
@@ -17,6 +17,7 @@
 from arbutusstall._systems import admission
 from arbutusstall._systems import attempts
 from arbutusstall._systems import balancing
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._systems import keys
 from arbutusstall._systems import quarantine
 from arbutusstall._tables import members
@@ -347,7 +348,7 @@
             with self._lock:
                 self._balancer.record_answer(
                     member.node,
-                    balancing.AnswerReport(
+                    endpoint_stats.AnswerReport(
                         in_flight=answer.in_flight, slots=answer.slots
                     ),
                     time.monotonic(),
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -273,6 +273,8 @@
         the caller must refuse them.
         """
         excess = self.limit.count_excess(len(self._queue), now_ms)
+        if not excess:
+            return ()
         kept = len(self._queue) - excess
         removed = tuple(item.call_id for item in self._queue[kept:])
         self._queue = self._queue[:kept]
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from arbutusstall import _effects
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._tables import members
 
 _FAILURES_TO_EJECT = 3
@@ -45,67 +46,7 @@
 _MAX_CANDIDATES = 4
 
 
-class EndpointStats(msgspec.Struct, frozen=True, kw_only=True):
-    """Statistics of one endpoint, as observed by one caller's proxy.
-
-    A `msgspec.Struct` because it is copied for each call.
-
-    Attributes:
-        outstanding: Number of this caller's calls without an answer.
-        in_flight: Number of requests at the target and in its queue,
-            according to its last answer.
-        slots: Number of requests that the target runs concurrently,
-            according to its last answer; 0 if unknown.
-        reported_s: Monotonic time of the last answer.
-        latency_ratio: Smoothed latency of its calls, divided by the usual
-            latency of the same routes.
-        error_rate: Smoothed share of its answers that report an error, 0
-            to 1.
-        failures: Number of lost calls since the last answer or
-            ejection.
-        ejections: Number of ejections since the last answer.
-        ejected_until_s: Monotonic time at which the ejection ends.
-        first_seen_s: Monotonic time at which the endpoint was first
-            listed; minus infinity if it was listed from the start.
-        limited_until_s: Monotonic time until which it is at the limit of
-            its rate.
-        limited_rank: Calls of this rank or a higher one are over the limit.
-    """
-
-    outstanding: int = 0
-    in_flight: int = 0
-    slots: int = 0
-    reported_s: float = -math.inf
-    latency_ratio: float = 1.0
-    error_rate: float = 0.0
-    failures: int = 0
-    ejections: int = 0
-    ejected_until_s: float = -math.inf
-    first_seen_s: float = -math.inf
-    limited_until_s: float = -math.inf
-    limited_rank: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AnswerReport:
-    """Load and latency of an endpoint, as reported with an answer.
-
-    Attributes:
-        in_flight: Number of requests at the target and in its queue.
-        slots: Number of requests that the target runs concurrently.
-        route: Route of the call. Latencies are compared within a route.
-        taken_ms: Time that the target took; 0 if the call did not run.
-        failed: Whether the answer reports an error.
-    """
-
-    in_flight: int
-    slots: int
-    route: str = ""
-    taken_ms: float = 0.0
-    failed: bool = False
-
-
-_NO_STATS = EndpointStats()
+_NO_STATS = endpoint_stats.EndpointStats()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -137,7 +78,7 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self._stats_by_node: dict[str, EndpointStats] = {}
+        self._stats_by_node: dict[str, endpoint_stats.EndpointStats] = {}
         self._usual_ms_by_route: dict[str, float] = {}
         self._cache_by_version: dict[tuple[str, str], _CachedEndpoints] = {}
         # Time from which no endpoint is ejected or in slow start.
@@ -154,7 +95,7 @@
         for rows in view.members_by_service.values():
             nodes.update(row.node for row in rows)
         for node in nodes - self._stats_by_node.keys():
-            self._stats_by_node[node] = EndpointStats(
+            self._stats_by_node[node] = endpoint_stats.EndpointStats(
                 first_seen_s=-math.inf if is_first else now_s
             )
             if not is_first:
@@ -256,12 +197,9 @@
             wait_s: Time that the endpoint asked to wait, in seconds. It is
                 randomized, so that callers do not come back together.
         """
-        old = self._get(node)
         until_s = now_s + wait_s * self._rng.uniform(0.75, 1.25)
-        if old.limited_until_s > now_s:
-            rank = min(rank, old.limited_rank)
-        self._stats_by_node[node] = msgspec.structs.replace(
-            old, limited_until_s=until_s, limited_rank=rank
+        self._stats_by_node[node] = self._get(node).with_limit(
+            rank, until_s, now_s
         )
         self._settled_from_s = max(self._settled_from_s, until_s)
 
@@ -280,7 +218,7 @@
         )
 
     def record_answer(
-        self, node: str, report: AnswerReport, now_s: float
+        self, node: str, report: endpoint_stats.AnswerReport, now_s: float
     ) -> None:
         """Record an answer of ``node``, which may be a refusal.
 
@@ -293,7 +231,7 @@
             seen = min(self._latency_ratio(report), _MAX_LATENCY_RATIO)
             latency_ratio = decayed + _SMOOTHING * (seen - decayed)
             error_rate += _SMOOTHING * (float(report.failed) - error_rate)
-        self._stats_by_node[node] = EndpointStats(
+        self._stats_by_node[node] = endpoint_stats.EndpointStats(
             outstanding=max(0, old.outstanding - 1),
             in_flight=report.in_flight,
             slots=report.slots,
@@ -364,7 +302,7 @@
         self._cache_by_version[key] = rows
         return rows
 
-    def _get(self, node: str) -> EndpointStats:
+    def _get(self, node: str) -> endpoint_stats.EndpointStats:
         return self._stats_by_node.get(node, _NO_STATS)
 
     def _available(
@@ -386,8 +324,7 @@
     def _is_limited(
         self, row: members.Member, rank: int, now_s: float
     ) -> bool:
-        stats = self._get(row.node)
-        return now_s < stats.limited_until_s and rank >= stats.limited_rank
+        return self._get(row.node).is_limited(rank, now_s)
 
     def _draw_with_slow_start(
         self, rows: list[members.Member], now_s: float
@@ -407,7 +344,7 @@
         share = max(_MIN_SLOW_START_SHARE, age_s / _SLOW_START_S)
         return self._rng.random() < share
 
-    def _latency_ratio(self, report: AnswerReport) -> float:
+    def _latency_ratio(self, report: endpoint_stats.AnswerReport) -> float:
         usual_ms = self._usual_ms_by_route.get(report.route, report.taken_ms)
         # Limits the effect of slow outliers on the usual latency.
         seen_ms = min(report.taken_ms, 4.0 * usual_ms)
@@ -416,7 +353,7 @@
         return report.taken_ms / max(usual_ms, 1.0)
 
     def _decayed_latency_ratio(
-        self, stats: EndpointStats, now_s: float
+        self, stats: endpoint_stats.EndpointStats, now_s: float
     ) -> float:
         age_s = max(0.0, now_s - stats.reported_s)
         return 1.0 + (stats.latency_ratio - 1.0) * math.exp(-age_s / _DECAY_S)
--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -6,10 +6,13 @@
 import collections
 import random
 
+import calls
+
 from arbutusstall import _effects
 from arbutusstall._proxy import target_states
 from arbutusstall._systems import admission
 from arbutusstall._systems import balancing
+from arbutusstall._systems import endpoint_stats
 from arbutusstall._systems import revocation
 from arbutusstall._tables import members
 from arbutusstall._wire import messages
@@ -157,20 +160,9 @@
             self.refusals += 1
 
     def _call(self, caller: Caller, node: str, rank: int):
-        call = messages.CallRequest(
+        call = calls.booking(
             call_id=f"c{sum(self.sent.values())}-{node}",
-            request_id="r",
-            incarnation=1,
             sent_ms=self.now_ms,
-            service=_SERVICE,
-            version="v1",
-            route="",
-            method="GET",
-            path="/",
-            headers=(),
-            body=b"",
-            deadline_ms=1_000,
-            idempotent=True,
             rank=rank,
             target_state=caller.states.get(node),
         )
@@ -178,7 +170,7 @@
         answer = endpoint.submit(call, self.now_ms)
         now_s = self.now_ms / 1_000
         caller.states.record(node, answer.target_state)
-        report = balancing.AnswerReport(
+        report = endpoint_stats.AnswerReport(
             in_flight=endpoint.admission.load,
             slots=_SLOTS,
             taken_ms=0 if answer.not_run else _RUN_MS,
