Adopt a limit from callers only once

Cause: after a restart, two callers with different old limits changed the limit, and the log, with each of their calls in turn until the target answered.

Change: what a caller tells is adopted if nothing is known yet; only that a target leaves is adopted later as well. One flag less.

--- a/src/arbutusstall/_proxy/endpoint_choice.py
+++ b/src/arbutusstall/_proxy/endpoint_choice.py
@@ -42,8 +42,8 @@
     """
 
     member: members.Member | None = None
-    limited_ms: int = 0
     unreachable: frozenset[str] = frozenset()
+    limited_ms: int = 0
 
 
 class EndpointChoice:
--- a/src/arbutusstall/_proxy/target_states.py
+++ b/src/arbutusstall/_proxy/target_states.py
@@ -29,7 +29,6 @@
         self._log = log
         self._target: _effects.Announced | None = None
         self._known: messages.TargetState | None = None
-        self._has_answered = False
 
     @property
     def leaving(self) -> bool:
@@ -42,7 +41,6 @@
         if before is None or before.start == target.start:
             return
         self._known = None
-        self._has_answered = False
         self._apply_limit(None, now_ms)
 
     def learn_from_answer(
@@ -54,7 +52,6 @@
             sent: Number of requests sent to the target so far.
         """
         if self._is_current(state):
-            self._has_answered = True
             self._adopt(state, sent, now_ms)
 
     def learn_from_caller(
@@ -62,14 +59,14 @@
     ) -> None:
         """Adopt what the target has said to a caller.
 
-        Its limit is used only until the target itself has answered, since
-        it may be out of date.
+        A limit is adopted only if nothing else is known of the target,
+        since it may be out of date; a target that leaves does not return.
         """
         if state is None or not self._is_current(state):
             return
-        if not self._has_answered:
+        if self._known is None:
             self._adopt(state, sent, now_ms)
-        elif state.leaving and self._known is not None:
+        elif state.leaving:
             leaving = msgspec.structs.replace(self._known, leaving=True)
             self._adopt(leaving, sent, now_ms)
 
