Part running requests and run times out

The state of a caller's request and the call that is built from it stand in running_request.py, the estimate of run times by route in run_times.py.

--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -18,6 +18,7 @@
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import peers as peer_links
+from arbutusstall._proxy import running_request
 from arbutusstall._proxy import target_states
 from arbutusstall._shell import call_metrics
 from arbutusstall._shell import events
@@ -37,7 +38,6 @@
 TIMED_OUT = "no answer in time"
 STOPPING = "node stops"
 
-_SAFE_METHODS = frozenset({"GET", "HEAD"})
 # An answer that arrives shortly after the deadline is still passed on.
 _LATE_ANSWER_GRACE_S = 0.12
 # Attempts that were refused before they reached a target cost no endpoint
@@ -49,9 +49,6 @@
 # After this time without a connection to any endpoint, a request is
 # refused rather than held while further endpoints are tried.
 _MAX_CONNECT_MS = 200
-# Nested calls go before all others, since refusing one would waste the
-# work of the request above it.
-_NESTED_RANK = -1
 # Lost calls that are not retried, since the caller no longer waits.
 _NOT_RETRYABLE_REASONS = frozenset({admission.LATE, inbound.CANCELLED})
 # Refusals that a target gave itself; they count as attempts.
@@ -75,45 +72,6 @@
 )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _RunningRequest:
-    """A caller's request without an answer, and its current attempt.
-
-    Attributes:
-        number: Number of this request, unique within the process.
-        call: The call of the current attempt.
-        end_s: Loop time of the deadline.
-        nested: Whether the local target makes the request while it
-            works on another one.
-        waited_ms: Estimated time for which the caller had waited before
-            this request arrived.
-        sends: Attempts that a target may have seen.
-        refusals: Attempts that were refused before they reached a target.
-        last: Outcome of the last attempt.
-        earlier_lost: Whether the outcome of an earlier attempt is unknown.
-        member: Endpoint of the current attempt.
-    """
-
-    number: int
-    exchange: http_server.Exchange
-    incoming: dialects.IncomingRequest
-    route: agreed.Route
-    call: messages.CallRequest
-    started_s: float
-    end_s: float
-    nested: bool
-    waited_ms: int = 0
-    tried_nodes: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    refusals: int = 0
-    last: attempts.Attempt | None = None
-    earlier_lost: bool = False
-    member: members.Member | None = None
-    peer: peer_links.Peer | None = None
-    timer: asyncio.TimerHandle | None = None
-    ended: bool = False
-
-
 class Outbound:
     """Answers callers through the targets of all nodes.
 
@@ -148,7 +106,7 @@
         self._caller_waits = caller_waits.CallerWaits()
         self._budgets_by_service: dict[str, attempts.RetryBudget] = {}
         self._numbers = itertools.count(1)
-        self._running_by_number: dict[int, _RunningRequest] = {}
+        self._running_by_number: dict[int, running_request.RunningRequest] = {}
         self._is_stopping = False
 
     @property
@@ -226,7 +184,7 @@
         exchange: http_server.Exchange,
         incoming: dialects.IncomingRequest,
         route: agreed.Route,
-    ) -> _RunningRequest:
+    ) -> running_request.RunningRequest:
         now_s = self._loop.time()
         timeout_ms = route.timeout_ms
         if incoming.deadline_ms is not None:
@@ -241,12 +199,14 @@
                 route.prefix, incoming.deadline_ms, now_s
             )
         self._retry_budget(service).deposit()
-        running = _RunningRequest(
+        running = running_request.RunningRequest(
             number=next(self._numbers),
             exchange=exchange,
             incoming=incoming,
             route=route,
-            call=_build_call(incoming, route, service, timeout_ms, nested),
+            call=running_request.build_call(
+                incoming, route, service, timeout_ms, nested
+            ),
             nested=nested,
             waited_ms=waited_ms,
             started_s=now_s,
@@ -259,7 +219,7 @@
         self._running_by_number[running.number] = running
         return running
 
-    def _attempt(self, running: _RunningRequest) -> None:
+    def _attempt(self, running: running_request.RunningRequest) -> None:
         """Send the request to the next endpoint.
 
         Fails the request if no endpoint or no time is left.
@@ -281,7 +241,7 @@
 
     def _on_choice(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         version: str,
         choice: endpoint_choice.Choice,
     ) -> None:
@@ -308,7 +268,7 @@
 
     def _send(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         version: str,
         member: members.Member,
         left_ms: int,
@@ -334,7 +294,7 @@
 
     def _on_result(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         call_id: str,
         result: messages.CallAnswer | errors.ArbutusstallError,
     ) -> None:
@@ -358,7 +318,9 @@
             self._resolve_lost_call(running, result)
 
     def _resolve_lost_call(
-        self, running: _RunningRequest, problem: errors.ArbutusstallError
+        self,
+        running: running_request.RunningRequest,
+        problem: errors.ArbutusstallError,
     ) -> None:
         """Find out the outcome of a call whose connection has ended."""
         call = running.call
@@ -376,7 +338,7 @@
 
     def _on_revoked(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         call_id: str,
         revoked: messages.CallRevoked | None,
         reason: str,
@@ -392,7 +354,9 @@
         self._decide(running, attempts.from_revocation(revoked, reason))
 
     def _decide(
-        self, running: _RunningRequest, attempt: attempts.Attempt
+        self,
+        running: running_request.RunningRequest,
+        attempt: attempts.Attempt,
     ) -> None:
         """Answer the caller, or retry at another endpoint."""
         call = running.call
@@ -416,7 +380,9 @@
         self._give_up(running, attempt)
 
     def _may_retry(
-        self, running: _RunningRequest, attempt: attempts.Attempt
+        self,
+        running: running_request.RunningRequest,
+        attempt: attempts.Attempt,
     ) -> bool:
         if self._loop.time() >= running.end_s:
             return False
@@ -435,7 +401,9 @@
         return budget.withdraw(nested=running.nested)
 
     def _answer_caller(
-        self, running: _RunningRequest, answer: messages.CallAnswer
+        self,
+        running: running_request.RunningRequest,
+        answer: messages.CallAnswer,
     ) -> None:
         target_ms = running.route.target_latency_ms
         if target_ms and self._elapsed_ms(running) > target_ms:
@@ -444,7 +412,9 @@
         self._end_with(running, attempts.Step.ANSWER, response)
 
     def _give_up(
-        self, running: _RunningRequest, attempt: attempts.Attempt
+        self,
+        running: running_request.RunningRequest,
+        attempt: attempts.Attempt,
     ) -> None:
         step = attempts.final_step(attempt, earlier_lost=running.earlier_lost)
         not_run = step is attempts.Step.REPORT_NOT_RUN
@@ -453,12 +423,14 @@
             kind = dialects.FailureKind.NOT_RUN
         self._end_failed(running, step, kind, attempt)
 
-    def _on_timeout(self, running: _RunningRequest) -> None:
+    def _on_timeout(self, running: running_request.RunningRequest) -> None:
         running.timer = None
         if not running.ended:
             self._end_unanswered(running, TIMED_OUT)
 
-    def _end_unanswered(self, running: _RunningRequest, reason: str) -> None:
+    def _end_unanswered(
+        self, running: running_request.RunningRequest, reason: str
+    ) -> None:
         """Answer a request whose current attempt has not ended."""
         if running.peer is not None:
             running.peer.cancel(running.call)
@@ -473,7 +445,7 @@
             attempts.Attempt(state=attempts.AttemptState.LOST, reason=reason),
         )
 
-    def _on_cancelled(self, running: _RunningRequest) -> None:
+    def _on_cancelled(self, running: running_request.RunningRequest) -> None:
         if running.ended:
             return
         if running.peer is not None:
@@ -484,7 +456,7 @@
 
     def _end_failed(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         step: attempts.Step,
         kind: dialects.FailureKind,
         attempt: attempts.Attempt,
@@ -503,7 +475,7 @@
 
     def _end_with(
         self,
-        running: _RunningRequest,
+        running: running_request.RunningRequest,
         step: attempts.Step,
         response: http_messages.Response,
     ) -> None:
@@ -511,7 +483,9 @@
         self._finish(running, step.value)
         exchange.answer(response)
 
-    def _finish(self, running: _RunningRequest, outcome: str) -> None:
+    def _finish(
+        self, running: running_request.RunningRequest, outcome: str
+    ) -> None:
         running.ended = True
         running.exchange.on_cancelled = None
         del self._running_by_number[running.number]
@@ -551,7 +525,9 @@
             self._budgets_by_service[service] = budget
         return budget
 
-    def _progress(self, running: _RunningRequest) -> call_log.CallProgress:
+    def _progress(
+        self, running: running_request.RunningRequest
+    ) -> call_log.CallProgress:
         return call_log.CallProgress(
             call=running.call,
             peer=running.member.node if running.member else "",
@@ -561,7 +537,7 @@
             waited_ms=running.waited_ms,
         )
 
-    def _aim_ms(self, running: _RunningRequest) -> int:
+    def _aim_ms(self, running: running_request.RunningRequest) -> int:
         """Return the time left to the latency objective; 0 if there is none.
 
         Nested calls have none: refusing one for the objective would waste
@@ -575,7 +551,7 @@
         spent_ms = running.waited_ms + self._elapsed_ms(running)
         return max(1, target_ms - spent_ms)
 
-    def _elapsed_ms(self, running: _RunningRequest) -> int:
+    def _elapsed_ms(self, running: running_request.RunningRequest) -> int:
         return int((self._loop.time() - running.started_s) * 1000)
 
 
@@ -599,31 +575,3 @@
         reason=admission.OVER_LIMIT,
         retry_after_ms=limited_ms,
     )
-
-
-def _build_call(
-    incoming: dialects.IncomingRequest,
-    route: agreed.Route,
-    service: str,
-    deadline_ms: int,
-    nested: bool,
-) -> messages.CallRequest:
-    safe = incoming.method in _SAFE_METHODS and not route.strict
-    return messages.CallRequest(
-        call_id="",
-        request_id=incoming.request_id,
-        incarnation=0,
-        sent_ms=0,
-        service=service,
-        version="",
-        route=route.prefix,
-        method=incoming.method,
-        path=incoming.target,
-        headers=incoming.headers,
-        body=incoming.body,
-        deadline_ms=deadline_ms,
-        idempotent=route.idempotent or safe,
-        key=incoming.key,
-        depth=incoming.depth,
-        rank=_NESTED_RANK if nested else route.priority,
-    )
--- a/src/arbutusstall/_systems/admission.py
+++ b/src/arbutusstall/_systems/admission.py
@@ -7,6 +7,7 @@
 from arbutusstall._systems import demand
 from arbutusstall._systems import rate_limit
 from arbutusstall._systems import revocation
+from arbutusstall._systems import run_times
 from arbutusstall._wire import messages
 
 DRAINING = "draining"
@@ -19,10 +20,7 @@
 MISDIRECTED = "another target has the address"
 OVER_LIMIT = "over the limit of the target"
 
-_SMOOTHING = 0.1
-_INITIAL_RUN_MS = 10.0
 _MIN_RETRY_AFTER_MS = 10
-_MAX_ROUTES = 1_000
 # The latency objective allows for calls that run this many times longer
 # than the mean of their route.
 _LONG_CALL_FACTOR = 1.5
@@ -122,8 +120,7 @@
         self._running_by_id: dict[str, _Running] = {}
         self._exclusive_id = ""
         self._queue: list[_Queued] = []
-        self._mean_run_ms = _INITIAL_RUN_MS
-        self._mean_run_ms_by_route: dict[str, float] = {}
+        self._run_times = run_times.RunTimes()
         self._demand = demand.Demand()
 
     @property
@@ -287,7 +284,7 @@
         started = self._running_by_id.pop(call_id)
         if self._exclusive_id == call_id:
             self._exclusive_id = ""
-        self._update_run_time(started.route, now_ms - started.at_ms)
+        self._run_times.record(started.route, now_ms - started.at_ms)
         return self.promote(now_ms)
 
     def promote(self, now_ms: int) -> tuple[str, ...]:
@@ -303,7 +300,7 @@
 
     def _max_wait_ms(self, route: str, deadline_ms: int, aim_ms: int) -> int:
         """Return the maximum time in milliseconds a request may queue."""
-        run_ms = self._expected_run_ms(route)
+        run_ms = self._run_times.expected_ms(route)
         max_wait_ms = min(self._queue_ms, deadline_ms - run_ms)
         if not aim_ms:
             return max_wait_ms
@@ -344,25 +341,14 @@
         if not self.table.start(call_id, now_ms):
             return False
         self.limit.record_sent(now_ms)
-        self._demand.record_started(rank, self._expected_run_ms(route), now_ms)
+        self._demand.record_started(
+            rank, self._run_times.expected_ms(route), now_ms
+        )
         self._running_by_id[call_id] = _Running(at_ms=now_ms, route=route)
         if exclusive:
             self._exclusive_id = call_id
         return True
 
-    def _update_run_time(self, route: str, run_ms: int) -> None:
-        self._mean_run_ms += _SMOOTHING * (run_ms - self._mean_run_ms)
-        mean_ms = self._mean_run_ms_by_route.get(route, float(run_ms))
-        mean_ms += _SMOOTHING * (run_ms - mean_ms)
-        if len(self._mean_run_ms_by_route) >= _MAX_ROUTES:
-            self._mean_run_ms_by_route.clear()
-        self._mean_run_ms_by_route[route] = mean_ms
-
-    def _expected_run_ms(self, route: str) -> int:
-        """Return the expected run time of a call on ``route``."""
-        mean_ms = self._mean_run_ms_by_route.get(route, self._mean_run_ms)
-        return int(mean_ms)
-
     def _queue_index(self, rank: int) -> int:
         """Return the index in the queue for a new request of ``rank``."""
         index = len(self._queue)
@@ -425,8 +411,12 @@
     def _min_wait_ms(self, ahead: list[_Queued]) -> float:
         """Return the wait behind ``ahead`` if no request overtakes."""
         running = self._running_by_id.values()
-        running_ms = sum(self._expected_run_ms(item.route) for item in running)
-        ahead_ms = sum(self._expected_run_ms(item.route) for item in ahead)
+        running_ms = sum(
+            self._run_times.expected_ms(item.route) for item in running
+        )
+        ahead_ms = sum(
+            self._run_times.expected_ms(item.route) for item in ahead
+        )
         work_ms = running_ms / max(1, len(running)) + ahead_ms
         return work_ms / max(1, self.slots)
 
