--- a/src/arbutusstall/_proxy/outbound.py
+++ b/src/arbutusstall/_proxy/outbound.py
@@ -44,7 +44,7 @@
 # any work. They have this limit of their own and use no retry budget.
 _MAX_REFUSALS = 3
 _NO_ENDPOINT_RETRY_MS = 300
-# The platform sends callers to other nodes by then.
+# By then callers are sent to other nodes, where a retry succeeds.
 _STOPPING_RETRY_MS = 100
 # After this time without a connection to any endpoint, a request is
 # refused rather than held while further endpoints are tried.
--- a/src/arbutusstall/_systems/balancing.py
+++ b/src/arbutusstall/_systems/balancing.py
@@ -175,9 +175,10 @@
         now_s: float,
         rank: int,
     ) -> float:
-        """Return the time until an endpoint leaves its limit, in seconds.
+        """Return the time until a limited endpoint may be chosen again.
 
-        The result is 0 if none is at its limit for calls of ``rank``.
+        The result is in seconds. It is 0 if no endpoint is at its limit
+        for calls of ``rank``.
         """
         found = self._endpoints(view, service, version)
         return min(
@@ -195,8 +196,8 @@
         """Record that an endpoint is at its limit for calls of ``rank``.
 
         Args:
-            wait_s: Time that the endpoint asked to wait, in seconds. It is
-                randomized, so that callers do not come back together.
+            wait_s: Retry delay of the refusal, in seconds. It is
+                randomized, so that callers do not retry at the same time.
         """
         until_s = now_s + wait_s * self._rng.uniform(0.75, 1.25)
         self._stats_by_node[node] = self._get(node).with_limit(
--- a/src/arbutusstall/_systems/rate_limit.py
+++ b/src/arbutusstall/_systems/rate_limit.py
@@ -1,19 +1,20 @@
-"""Keeps the requests to a target within the rate that it allows."""
+"""Rate limit of the requests that are sent to a target."""
 
-# Requests of this time may be sent at once after an idle period.
+# Burst that is allowed after an idle period, as time at the limit's rate.
 _BURST_S = 0.5
 _MIN_BURST = 2.0
-# The bucket's content when a limit is new: what was sent before, perhaps by
-# an earlier process, is not known.
+# Tokens when a limit is first set. What was sent before, perhaps by an
+# earlier process, is not known.
 _INITIAL_TOKENS = 1.0
-# A target that allows nothing is still asked now and then, since only an
-# answer can tell that the limit has ended.
+# Lower limits are raised to this rate: without any request, no answer could
+# tell that the limit has ended.
 _MIN_RATE_PER_S = 0.25
+# Interval at which the retry delay is adapted.
 _INTERVAL_MS = 250
-# Refusals that are aimed at, as a share of the limit: callers that stay away
-# for longer would leave a part of it unused.
+# Intended rate of refusals as a share of the limit. With fewer refusals a
+# part of the limit would stay unused.
 _REFUSED_SHARE = 0.5
-# So many refusals a second cost too little to keep callers away for longer.
+# Refusals up to this rate are too cheap to lengthen the retry delay.
 _FREE_REFUSALS_PER_S = 10.0
 _MIN_RETRY_AFTER_MS = 20.0
 _MAX_RETRY_AFTER_MS = 8_000.0
@@ -23,8 +24,8 @@
 class RateLimit:
     """Token bucket with a reserve for requests of a higher priority.
 
-    Also derives from the rate of refusals how long a refused caller should
-    stay away. Not thread-safe. Times are milliseconds on one monotonic
+    It also adapts the retry delay of refused callers to the rate of
+    refusals. Not thread-safe. Times are milliseconds on one monotonic
     clock.
     """
 
@@ -78,10 +79,10 @@
             self._tokens -= 1.0
 
     def record_refused(self, now_ms: int) -> int:
-        """Count a refusal; return the time that its caller should wait.
+        """Count a refusal; return its retry delay in milliseconds.
 
-        The time follows the number of refusals, so that it grows with the
-        number of callers and with what they ask for.
+        The delay grows while refusals are more frequent than intended, so
+        it adapts to the number of callers and to their load.
         """
         elapsed_ms = now_ms - self._interval_began_ms
         if elapsed_ms >= _INTERVAL_MS:
--- a/src/arbutusstall/_wire/call_messages.py
+++ b/src/arbutusstall/_wire/call_messages.py
@@ -28,7 +28,7 @@
 
     @property
     def restricts(self) -> bool:
-        """Whether callers may send less than they like, or nothing."""
+        """Whether the target limits the rate of requests or refuses them."""
         return self.leaving or self.limit_per_s is not None
 
 
