--- a/features/steps/outbound_steps.py
+++ b/features/steps/outbound_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import behave
+import calls
 import fake_peers
 import fleet
 
@@ -15,7 +16,6 @@
 from arbutusstall._systems import estimate
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
-from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 
 _MAX_ANSWER_S = 0.1
@@ -200,18 +200,10 @@
         connection.last_received_s = now_s = asyncio.get_running_loop().time()
         peer._connection = connection
         peer._clock_bound = estimate.tighten(None, 1, 0, now_s)
-        call = messages.CallRequest(
-            call_id="c",
-            request_id="r",
-            incarnation=1,
-            sent_ms=0,
-            service=_SERVICE,
-            version="v1",
+        call = calls.booking(
             route="/x/",
             method="GET",
             path="/x/",
-            headers=(),
-            body=b"",
             deadline_ms=500,
             idempotent=True,
         )
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -10,6 +10,7 @@
 import time
 
 import behave
+import calls
 import fleet
 import msgspec
 import platform_mesh
@@ -41,18 +42,9 @@
     "encoding": ("Content-Encoding", "gzip"),
     "not-executed": ("X-Not-Executed", "1"),
 }
-_CALL = messages.CallRequest(
-    call_id="c",
-    request_id="r",
-    incarnation=1,
-    sent_ms=0,
-    service="kvoty",
-    version="v1",
-    route="a.example/x/",
+_CALL = calls.booking(
     method="GET",
-    path="/x/1",
     headers=(("Accept", "*/*"),),
-    body=b"",
     deadline_ms=500,
     idempotent=True,
 )
