--- a/review/rig/client.py
+++ b/review/rig/client.py
@@ -31,6 +31,7 @@
     body=b"",
     timeout_s=3.0,
     buffer_bytes=0,
+    segment_bytes=0,
     bytes_per_s=0,
 ):
     """Send a request and return the answer.
@@ -38,6 +39,8 @@
     Args:
         buffer_bytes: Size of the socket's receive buffer; 0 for the
             system's.
+        segment_bytes: Size of TCP segments, as on the link of a client
+            elsewhere; 0 for that of the loopback link.
         bytes_per_s: Rate at which the body is read; 0 for no limit.
     """
     host, _, port = address.rpartition(":")
@@ -50,6 +53,10 @@
     try:
         if buffer_bytes:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        if segment_bytes:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes
+            )
         sock.connect((host, int(port)))
         sock.sendall(head + body)
         with sock.makefile("rb", buffering=4096) as stream:
