Move the local target out of the node

The node's module held the life of its target and the calls to the roster beside the assembly of all parts. Both get modules of their own: local_target.py and roster_client.py.

--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -1,12 +1,8 @@
 """Assembles a node process from its parts."""
 
 import asyncio
-from collections import abc
-from concurrent import futures
 import dataclasses
-import functools
 import gc
-import logging
 import random
 import signal
 import time
@@ -15,7 +11,6 @@
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall import _settings
-from arbutusstall import errors
 from arbutusstall._log import client
 from arbutusstall._log import roster
 from arbutusstall._log import source as sources
@@ -27,23 +22,17 @@
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import inbound
+from arbutusstall._proxy import local_target
 from arbutusstall._proxy import outbound
 from arbutusstall._proxy import peers
+from arbutusstall._proxy import roster_client
 from arbutusstall._proxy import source_worker
 from arbutusstall._proxy import streams
 from arbutusstall._shell import events
 from arbutusstall._shell import log_worker
 from arbutusstall._systems import announcements
-from arbutusstall._tables import members
 
-_TARGET_CHECK_INTERVAL_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
-# A target waits one second for the answer to its heartbeat, and a departure is
-# saved before that answer.
-_ROSTER_SAVE_TIMEOUT_S = 0.5
-_ROSTER_LOAD_TIMEOUT_S = 1.5
-_ROSTER_START_TIMEOUT_S = 0.4
-_ROSTER_RETRY_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,7 +81,6 @@
             self.log,
             budget,
         )
-        self.inbound.on_leaving = self._on_target_leaving
         self.outbound = outbound.Outbound(
             settings,
             environment.dialect,
@@ -123,14 +111,15 @@
         self._admin_server = http_server.HttpServer(
             settings.addresses.admin, admin.Admin(self.core)
         )
-        self._announcements = announcements.Announcements(
-            environment.target_silent_s
+        self._target = local_target.LocalTarget(
+            settings,
+            self.core.tables,
+            self.inbound,
+            self._control,
+            roster_client.RosterClient(environment.roster, self.log),
+            self.log,
+            environment.target_silent_s,
         )
-        self._roster_executor = futures.ThreadPoolExecutor(max_workers=1)
-        self._roster_load_tried = asyncio.Event()
-        self._saved_entry: roster.RosterEntry | None = None
-        self._target: _effects.Announced | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
         self._stopping = False
         self._register_executors()
 
@@ -153,10 +142,9 @@
         await self._caller_server.start()
         await self._admin_server.start()
         self.inbound.start()
-        self._spawn(self._load_roster())
-        await self._wait_for_roster()
+        await self._target.start()
         self._control.start()
-        self._check_target()
+        self._target.watch()
         # The objects that exist now live as long as the process; excluding
         # them makes each later collection cheaper.
         gc.collect()
@@ -180,6 +168,7 @@
         """
         began_s = self._loop.time()
         self._stopping = True
+        self._target.stop()
         self.log.emit("node-stopping")
         self._caller_server.closing = True
         # Running requests make their nested calls through this node, so no
@@ -207,210 +196,12 @@
         self.log.emit("node-stopped")
 
     async def announce(self, announcement: announcements.Announcement) -> None:
-        """Process a heartbeat of the local target.
-
-        Waits for the first attempt to load the roster, since a departure
-        in it may make the heartbeat outdated.
-        """
-        await self._roster_load_tried.wait()
-        kind = self._announcements.process(announcement, self._loop.time())
-        if kind is announcements.AnnouncementKind.LEAVING:
-            departure = announcements.Departure(
-                instance=announcement.instance, born_ms=announcement.born_ms
-            )
-            await self._record_departure(departure, "draining")
-        elif (
-            kind is announcements.AnnouncementKind.SERVING
-            and not self._stopping
-        ):
-            self._set_target(announcement)
-            entry = self._roster_entry(
-                announcement.instance, announcement.born_ms
-            )
-            if entry != self._saved_entry:
-                self._saved_entry = entry
-                self._spawn(self._save_with_retries(entry))
+        """Process a heartbeat of the local target."""
+        await self._target.announce(announcement)
 
     async def leave(self, instance: str) -> None:
         """Process the notice that the local target stops."""
-        wall_ms = time.time_ns() // 1_000_000
-        departure = self._announcements.leave(instance, wall_ms)
-        await self._record_departure(departure, "left")
-
-    def _on_target_leaving(self, instance: str) -> None:
-        """Record a departure that the target has told in an answer only."""
-        wall_ms = time.time_ns() // 1_000_000
-        departure = self._announcements.leave(instance, wall_ms)
-        self._spawn(self._record_departure(departure, "told in an answer"))
-
-    def _set_target(self, announcement: announcements.Announcement) -> None:
-        target = _effects.Announced(
-            service=announcement.service,
-            version=announcement.version,
-            address=announcement.address,
-            slots=announcement.slots,
-            instance=announcement.instance,
-            cold_s=announcement.cold_s,
-            born_ms=announcement.born_ms,
-        )
-        self._target = target
-        self.inbound.set_target(target)
-        self._control.put(target)
-
-    async def _record_departure(
-        self, departure: announcements.Departure, reason: str
-    ) -> None:
-        """Drain the target, and save its departure in the roster.
-
-        The entry outlives this process. If the first attempt to save it
-        fails, further ones follow in the background.
-        """
-        target = self.inbound.target
-        if target is not None and target.instance == departure.instance:
-            start = members.target_start(departure.instance, departure.born_ms)
-            self._drain_target(departure.instance, reason, start)
-        entry = dataclasses.replace(
-            self._roster_entry(departure.instance, departure.born_ms),
-            departed=True,
-        )
-        if entry != self._saved_entry:
-            self._saved_entry = entry
-            if not await self._save(entry):
-                self._spawn(self._save_with_retries(entry))
-
-    def _roster_entry(self, instance: str, born_ms: int) -> roster.RosterEntry:
-        row = self.core.tables.member
-        target = self._target
-        if target is not None:
-            row = dataclasses.replace(
-                row,
-                state=members.MemberState.SERVING,
-                sequence=0,
-                service=target.service,
-                version=target.version,
-                target=target.address,
-                slots=target.slots,
-            )
-        return roster.RosterEntry(
-            member=row, instance=instance, born_ms=born_ms
-        )
-
-    async def _save(self, entry: roster.RosterEntry) -> bool:
-        """Save an entry; false if the roster does not answer in time."""
-        try:
-            async with asyncio.timeout(_ROSTER_SAVE_TIMEOUT_S):
-                await self._loop.run_in_executor(
-                    self._roster_executor, self._environment.roster.save, entry
-                )
-        except (errors.LogUnavailable, TimeoutError) as exc:
-            self._log_failure("roster-not-saved", exc)
-            return False
-        return True
-
-    async def _save_with_retries(self, entry: roster.RosterEntry) -> None:
-        """Retry until the entry is saved, replaced or the node stops."""
-        while self._saved_entry is entry and not self._stopping:
-            if await self._save(entry):
-                return
-            await asyncio.sleep(_ROSTER_RETRY_INTERVAL_S)
-
-    async def _load_roster(self) -> None:
-        while not self._stopping:
-            try:
-                async with asyncio.timeout(_ROSTER_LOAD_TIMEOUT_S):
-                    found = await self._loop.run_in_executor(
-                        self._roster_executor, self._environment.roster.load
-                    )
-            except (errors.LogUnavailable, TimeoutError) as exc:
-                self._log_failure("roster-not-read", exc)
-            else:
-                self._apply_roster(found)
-                self._roster_load_tried.set()
-                return
-            # Heartbeats of the target are answered even if the store does
-            # not respond.
-            self._roster_load_tried.set()
-            await asyncio.sleep(_ROSTER_RETRY_INTERVAL_S)
-
-    def _apply_roster(self, entries: abc.Iterable[roster.RosterEntry]) -> None:
-        rows = []
-        for entry in entries:
-            own = entry.member.node == self._settings.node
-            if own:
-                self._restore_target(entry)
-            elif _is_in_use(entry):
-                rows.append(entry.member)
-        self._control.put(_effects.RosterRead(rows=tuple(rows)))
-
-    def _restore_target(self, entry: roster.RosterEntry) -> None:
-        """Use the target, or the departure, that an earlier process saved.
-
-        If the target has stopped meanwhile, its address refuses
-        connections, or another target at that address refuses the calls
-        because they name a different instance.
-        """
-        if entry.departed:
-            departure = announcements.Departure(
-                instance=entry.instance, born_ms=entry.born_ms
-            )
-            self._announcements.restore((departure,))
-            return
-        row = entry.member
-        if self._announcements.newest is not None or not row.service:
-            return
-        announcement = announcements.Announcement(
-            instance=entry.instance,
-            service=row.service,
-            version=row.version,
-            address=row.target,
-            slots=row.slots,
-            sequence=0,
-            born_ms=entry.born_ms,
-        )
-        now_s = self._loop.time()
-        kind = self._announcements.process(announcement, now_s)
-        if kind is announcements.AnnouncementKind.SERVING:
-            self.log.emit("target-restored", {"target": entry.instance})
-            self._set_target(announcement)
-            own = self._roster_entry(entry.instance, entry.born_ms)
-            if roster.same_target(own, entry):
-                self._saved_entry = own
-
-    async def _wait_for_roster(self) -> None:
-        """Wait for the roster for a short time before joining the mesh.
-
-        Without it, other nodes would see this one without a target.
-        """
-        try:
-            async with asyncio.timeout(_ROSTER_START_TIMEOUT_S):
-                await self._roster_load_tried.wait()
-        except TimeoutError:
-            self.log.emit("roster-late")
-
-    def _log_failure(self, event: str, exc: Exception) -> None:
-        reason = str(exc) or "no answer in time"
-        self.log.emit(event, {"reason": reason}, logging.WARNING)
-
-    def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _drain_target(
-        self, instance: str, reason: str, departed: str = ""
-    ) -> None:
-        if not self.inbound.admission.draining:
-            self.log.emit(
-                "target-leaving", {"target": instance, "reason": reason}
-            )
-        self.inbound.drain_target()
-        self._control.put(_effects.Left(reason=reason, departed=departed))
-
-    def _check_target(self) -> None:
-        if self._announcements.detect_silence(self._loop.time()):
-            self._drain_target("-", "silent")
-        if not self._stopping:
-            self._loop.call_later(_TARGET_CHECK_INTERVAL_S, self._check_target)
+        await self._target.leave(instance)
 
     def _is_busy(self) -> bool:
         return bool(self._caller_server.busy or self.inbound.in_flight)
@@ -427,8 +218,6 @@
         loop.on(_effects.PutInForce, self._put_in_force)
         loop.on(_effects.UpdateSuspects, self.inbound.add_suspects)
         loop.on(_effects.Emit, self._emit)
-        loop.on(_effects.RecordAbsence, self._record_absence)
-        loop.on(_effects.TargetDeparted, self._on_earlier_departure)
 
     def _follow(self, effect: _effects.FollowLog) -> None:
         self._log_worker.follow(effect)
@@ -444,38 +233,3 @@
 
     def _emit(self, effect: _effects.Emit) -> None:
         self.log.emit(effect.event, effect.fields)
-
-    def _record_absence(self, effect: _effects.RecordAbsence) -> None:
-        self._spawn(self._update_roster(effect))
-
-    def _on_earlier_departure(self, effect: _effects.TargetDeparted) -> None:
-        self._announcements.restore_start(effect.start)
-        newest = self._announcements.newest
-        if newest is None:
-            return
-        start = members.target_start(newest.instance, newest.born_ms)
-        if start == effect.start:
-            self._spawn(self.leave(newest.instance))
-
-    async def _update_roster(self, effect: _effects.RecordAbsence) -> None:
-        change = functools.partial(roster.gone_entries, effect.rows)
-        try:
-            async with asyncio.timeout(_ROSTER_LOAD_TIMEOUT_S):
-                await self._loop.run_in_executor(
-                    self._roster_executor,
-                    self._environment.roster.update,
-                    change,
-                )
-        except (errors.LogUnavailable, TimeoutError) as exc:
-            self._log_failure("absence-not-recorded", exc)
-            return
-        names = ",".join(row.node for row in effect.rows)
-        self.log.emit("absence-recorded", {"nodes": names})
-        self._control.put(_effects.AbsenceRecorded(rows=effect.rows))
-
-
-def _is_in_use(entry: roster.RosterEntry) -> bool:
-    """Return whether a node without newer information may call the target."""
-    if entry.departed or entry.absent:
-        return False
-    return bool(entry.member.service)
