Let a target confirm that it serves after a restart

Cause: a departure is acknowledged after half a second, saved or not. While the store is down only processes know it. When all of them were killed, the next one believed the older roster entry, or a single heartbeat, which may be late.

Evidence: the node logs target-restored, and the endpoint sends no heartbeat after its DELETE.

Change: a process that isn't the node's first sends its target nothing before the target has passed its health check or sent a second, newer heartbeat. The stored entry isn't used if the store didn't answer at the start. Heartbeats no longer wait for the roster. A stopping node goes on trying to save a departure.

Why this works: the target is the only one that outlives all processes; once it leaves it sends no heartbeat and fails its health check. The acknowledgement can so be given in time without the store.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -46,6 +46,44 @@
     And the store answers, and 15 seconds later all nodes start again
     Then 20 requests are all answered by the other target
 
+  Scenario Outline: a departure acknowledged in an outage outlives <what>
+    # Guards against review/5: the store cannot be written when a target
+    # leaves, and no process that knows of the departure lives on.
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the store is out
+    And the first target leaves without draining and still serves
+    And <what>
+    Then for 4 seconds all requests are answered by the other target
+
+    Examples:
+      | what                                                    |
+      | all nodes start again before the store answers          |
+      | all nodes start again after the store answers           |
+      | all nodes start again, and a late heartbeat arrives     |
+      | the store answers, then all nodes start, and a late heartbeat arrives |
+
+  Scenario Outline: a departure is answered in time while the store <fault>
+    # Guards against a node that waits for the store before it answers.
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the fault of the store is that it <fault>
+    And the first node starts again
+    Then its target drains and leaves, each answered within 1 second
+
+    Examples:
+      | fault                       |
+      | is out                      |
+      | takes 3 seconds             |
+      | loses its answers           |
+
+  Scenario: a target that lives is in use soon after a restart in an outage
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the store is out
+    And the first node starts again
+    Then within 3 seconds the second node is answered by the first target
+
   Scenario: a restarted mesh serves from the store alone
     Given nodes on the platform for kvoty and vazeni
     And the operator publishes version 3 with routes to both services
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -18,6 +18,12 @@
 _ROSTER_TOPIC = "keyed.arbutusstall-roster"
 # A node stores a new target without delay; 1 s leaves a wide margin.
 _STORE_DELAY_S = 1.0
+_REQUEST_INTERVAL_S = 0.02
+_STORE_FAULTS = {
+    "is out": store.Faults(out=True),
+    "takes 3 seconds": store.Faults(delay_s=3.0),
+    "loses its answers": store.Faults(lose_answers=True),
+}
 
 
 def _services(text):
@@ -206,6 +212,125 @@
     context.platform.store.faults = store.Faults(out=True)
 
 
+@behave.when("the fault of the store is that it {fault}")
+def store_faulty(context, fault):
+    """Set the store's faults."""
+    context.platform.store.faults = _STORE_FAULTS[fault]
+
+
+@behave.when("the first target leaves without draining and still serves")
+def leave_first_target(context):
+    """Let the target leave after it has run a request."""
+    mesh = context.platform
+    platform_mesh.wait_until(lambda: mesh.send("n1").body == b"i-n0\n")
+    assert mesh.endpoints_by_node["n0"].leave()
+
+
+@behave.when("all nodes start again before the store answers")
+def restart_all_in_outage(context):
+    """Kill all nodes, and end the outage once they run."""
+    mesh = context.platform
+    mesh.restart()
+    for node in mesh.nodes_by_name.values():
+        platform_mesh.wait_until(
+            lambda node=node: node.lines("roster-not-read")
+        )
+    mesh.store.faults = store.Faults()
+
+
+@behave.when("all nodes start again after the store answers")
+def restart_all_after_outage(context):
+    """Kill all nodes, and end the outage before they start."""
+    mesh = context.platform
+    for node in mesh.nodes_by_name.values():
+        node.kill()
+    mesh.store.faults = store.Faults()
+    mesh.restart()
+
+
+@behave.when("all nodes start again, and a late heartbeat arrives")
+def late_heartbeat_in_outage(context):
+    """Deliver an older heartbeat to the next process, then end the outage."""
+    mesh = context.platform
+    mesh.restart()
+    first = mesh.endpoints_by_node["n0"]
+    platform_mesh.wait_until(
+        lambda: first.send_heartbeat(sequence=1, state="ready")
+    )
+    mesh.store.faults = store.Faults()
+
+
+@behave.when(
+    "the store answers, then all nodes start, and a late heartbeat arrives"
+)
+def late_heartbeat_after_outage(context):
+    """Deliver an older heartbeat to a process that has read the roster."""
+    restart_all_after_outage(context)
+    mesh = context.platform
+    platform_mesh.wait_until(mesh.nodes_by_name["n0"].is_ready)
+    first = mesh.endpoints_by_node["n0"]
+    assert first.send_heartbeat(sequence=1, state="ready")
+
+
+@behave.then(
+    "for {seconds:d} seconds all requests are answered by the other target"
+)
+def other_answers_for(context, seconds):
+    """Send requests once the second target serves; count the first's runs."""
+    mesh = context.platform
+    first = mesh.endpoints_by_node["n0"]
+    for name in mesh.nodes_by_name:
+        platform_mesh.wait_until(
+            lambda name=name: _answered(context, name), 12.0
+        )
+    executed_before = len(first.executed)
+    until_s = time.monotonic() + seconds
+    answered = 0
+    while time.monotonic() < until_s:
+        for name in mesh.nodes_by_name:
+            answered += mesh.send(name).body == b"i-n1\n"
+            time.sleep(_REQUEST_INTERVAL_S)
+    assert len(first.executed) == executed_before, first.executed[-1]
+    assert answered > seconds, answered
+
+
+@behave.when("the first node starts again")
+def restart_first_node(context):
+    """Kill the node of the first target and start it."""
+    node = context.platform.nodes_by_name["n0"]
+    node.kill()
+    started_before = len(node.lines("node-starting"))
+    node.start()
+    platform_mesh.wait_until(
+        lambda: len(node.lines("node-starting")) > started_before
+    )
+
+
+@behave.then("its target drains and leaves, each answered within 1 second")
+def leaves_in_time(context):
+    """Let it leave as soon as the node listens for heartbeats."""
+    mesh = context.platform
+    first = mesh.endpoints_by_node["n0"]
+    first.state = "silent"
+    platform_mesh.wait_until(mesh.nodes_by_name["n0"].listens_for_heartbeats)
+    assert first.drain()
+    assert first.leave()
+
+
+@behave.then(
+    "within {seconds:d} seconds the second node is answered by the first"
+    " target"
+)
+def first_answers(context, seconds):
+    """Send requests through the second node."""
+    mesh = context.platform
+    first = mesh.endpoints_by_node["n0"]
+    count = len(first.executed)
+    platform_mesh.wait_until(
+        lambda: mesh.send("n1") and len(first.executed) > count, seconds
+    )
+
+
 @behave.when("its node stops")
 def stop_first_node(context):
     """Stop the node of the first target; its target is gone then."""
--- a/src/arbutusstall/_proxy/local_target.py
+++ b/src/arbutusstall/_proxy/local_target.py
@@ -12,6 +12,7 @@
 from arbutusstall._proxy import control
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import roster_client
+from arbutusstall._proxy import target_confirmer
 from arbutusstall._shell import events
 from arbutusstall._systems import announcements
 from arbutusstall._tables import members
@@ -38,6 +39,7 @@
         proxy: inbound.Inbound,
         loop: control.ControlLoop,
         client: roster_client.RosterClient,
+        confirmer: target_confirmer.TargetConfirmer,
         log: events.EventLog,
         silent_s: float,
     ) -> None:
@@ -46,6 +48,7 @@
         self._proxy = proxy
         self._control = loop
         self._roster = client
+        self._confirmer = confirmer
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._announcements = announcements.Announcements(silent_s)
@@ -73,6 +76,7 @@
     def watch(self) -> None:
         """Check periodically whether the target is silent."""
         if self._announcements.detect_silence(self._loop.time()):
+            self._confirmer.stop()
             self._drain("-", "silent")
         if not self._stopping:
             self._loop.call_later(_CHECK_INTERVAL_S, self.watch)
@@ -80,14 +84,10 @@
     def stop(self) -> None:
         """Accept no target any more."""
         self._stopping = True
+        self._confirmer.stop()
 
     async def announce(self, announcement: announcements.Announcement) -> None:
-        """Process a heartbeat of the target.
-
-        Waits for the first attempt to load the roster, since a departure
-        in it may make the heartbeat outdated.
-        """
-        await self._roster_load_tried.wait()
+        """Process a heartbeat of the target."""
         kind = self._announcements.process(announcement, self._loop.time())
         if kind is announcements.AnnouncementKind.LEAVING:
             departure = announcements.Departure(
@@ -98,13 +98,7 @@
             kind is announcements.AnnouncementKind.SERVING
             and not self._stopping
         ):
-            self._set_target(announcement)
-            entry = self._roster_entry(
-                announcement.instance, announcement.born_ms
-            )
-            if entry != self._saved_entry:
-                self._saved_entry = entry
-                self._spawn(self._save_with_retries(entry))
+            self._on_serving(announcement)
 
     async def leave(self, instance: str) -> None:
         """Process the notice that the target stops."""
@@ -116,30 +110,49 @@
         departure = self._announcements.leave(instance, _wall_ms())
         self._spawn(self._record_departure(departure, "told in an answer"))
 
-    def _set_target(self, announcement: announcements.Announcement) -> None:
-        target = _effects.Announced(
-            service=announcement.service,
-            version=announcement.version,
-            address=announcement.address,
-            slots=announcement.slots,
-            instance=announcement.instance,
-            cold_s=announcement.cold_s,
-            born_ms=announcement.born_ms,
-        )
+    def _on_serving(self, announcement: announcements.Announcement) -> None:
+        target = _announced(announcement)
+        if self._confirmer.record(announcement):
+            self._put_into_service(target)
+        else:
+            self._confirmer.check(
+                target, self._on_confirmed, self._on_not_confirmed
+            )
+
+    def _on_confirmed(self, target: _effects.Announced) -> None:
+        newest = self._announcements.newest
+        if newest is None or newest.draining or self._stopping:
+            return
+        known = _announced(newest)
+        if known.start == target.start:
+            self._put_into_service(known)
+
+    def _on_not_confirmed(self, target: _effects.Announced) -> None:
+        if self._target is None or self._target.start == target.start:
+            self._control.put(_effects.Left(reason="health check failed"))
+
+    def _put_into_service(self, target: _effects.Announced) -> None:
         self._target = target
         self._proxy.set_target(target)
         self._control.put(target)
+        entry = self._roster_entry(target.instance, target.born_ms)
+        if entry != self._saved_entry:
+            self._saved_entry = entry
+            self._spawn(self._save_with_retries(entry))
 
     async def _record_departure(
         self, departure: announcements.Departure, reason: str
     ) -> None:
         """Drain the target, and save its departure in the roster.
 
-        The entry outlives this process. If the first attempt to save it
-        fails, further ones follow in the background.
+        The departure may be acknowledged before the entry is saved: a
+        later process uses the target only if the target confirms that it
+        serves. If the first attempt fails, further ones follow in the
+        background.
         """
-        target = self._proxy.target
-        if target is not None and target.instance == departure.instance:
+        target = self._target
+        if target is None or target.instance == departure.instance:
+            self._confirmer.stop()
             start = members.target_start(departure.instance, departure.born_ms)
             self._drain(departure.instance, reason, start)
         entry = dataclasses.replace(
@@ -177,8 +190,13 @@
         )
 
     async def _save_with_retries(self, entry: roster.RosterEntry) -> None:
-        """Retry until the entry is saved, replaced or the node stops."""
-        while self._saved_entry is entry and not self._stopping:
+        """Retry until the entry is saved or replaced.
+
+        A node that stops saves only a departure.
+        """
+        while self._saved_entry is entry and (
+            entry.departed or not self._stopping
+        ):
             if await self._roster.save(entry):
                 return
             await asyncio.sleep(_ROSTER_RETRY_INTERVAL_S)
@@ -190,8 +208,6 @@
                 self._apply_roster(found)
                 self._roster_load_tried.set()
                 return
-            # Heartbeats of the target are answered even if the store does
-            # not respond.
             self._roster_load_tried.set()
             await asyncio.sleep(_ROSTER_RETRY_INTERVAL_S)
 
@@ -208,15 +224,15 @@
     def _restore_target(self, entry: roster.RosterEntry) -> None:
         """Use the target, or the departure, that an earlier process saved.
 
-        If the target has stopped meanwhile, its address refuses
-        connections, or another target at that address refuses the calls
-        because they name a different instance.
+        The target gets calls once it has confirmed that it serves. If the
+        store did not answer at first, a departure is likely not to have
+        been saved, and only heartbeats count.
         """
         if entry.departed:
-            departure = announcements.Departure(
-                instance=entry.instance, born_ms=entry.born_ms
-            )
-            self._announcements.restore((departure,))
+            start = members.target_start(entry.instance, entry.born_ms)
+            self._on_earlier_departure(_effects.TargetDeparted(start=start))
+            return
+        if self._roster_load_tried.is_set():
             return
         row = entry.member
         if self._announcements.newest is not None or not row.service:
@@ -234,7 +250,13 @@
         kind = self._announcements.process(announcement, now_s)
         if kind is announcements.AnnouncementKind.SERVING:
             self._log.emit("target-restored", {"target": entry.instance})
-            self._set_target(announcement)
+            self._target = _announced(announcement)
+            # The other nodes learn of it now, so that they need not wait
+            # for the row after the check.
+            self._control.put(self._target)
+            self._confirmer.check(
+                self._target, self._on_confirmed, self._on_not_confirmed
+            )
             own = self._roster_entry(entry.instance, entry.born_ms)
             if roster.same_target(own, entry):
                 self._saved_entry = own
@@ -264,6 +286,20 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _announced(
+    announcement: announcements.Announcement,
+) -> _effects.Announced:
+    return _effects.Announced(
+        service=announcement.service,
+        version=announcement.version,
+        address=announcement.address,
+        slots=announcement.slots,
+        instance=announcement.instance,
+        cold_s=announcement.cold_s,
+        born_ms=announcement.born_ms,
+    )
+
+
 def _is_in_use(entry: roster.RosterEntry) -> bool:
     """Return whether a node without newer information may call the target."""
     if entry.departed or entry.absent:
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -28,9 +28,12 @@
 from arbutusstall._proxy import roster_client
 from arbutusstall._proxy import source_worker
 from arbutusstall._proxy import streams
+from arbutusstall._proxy import target_confirmer
+from arbutusstall._proxy import target_health
 from arbutusstall._shell import events
 from arbutusstall._shell import log_worker
 from arbutusstall._systems import announcements
+from arbutusstall._systems import confirmation
 
 _DRAIN_POLL_INTERVAL_S = 0.05
 
@@ -46,6 +49,7 @@
             have stopped.
         target_silent_s: Time without a heartbeat after which the target
             is considered dead.
+        first_process: Whether no earlier process of the node existed.
     """
 
     dialect: dialects.Dialect
@@ -55,6 +59,8 @@
     notice_s: float
     grace_s: float
     target_silent_s: float
+    health: target_health.HealthCheck
+    first_process: bool = False
 
 
 class Node:
@@ -117,6 +123,14 @@
             self.inbound,
             self._control,
             roster_client.RosterClient(environment.roster, self.log),
+            target_confirmer.TargetConfirmer(
+                environment.health,
+                confirmation.Confirmations(
+                    began_ms=incarnation,
+                    first_process=environment.first_process,
+                ),
+                self.log,
+            ),
             self.log,
             environment.target_silent_s,
         )
--- /dev/null
+++ b/src/arbutusstall/_proxy/target_health.py
@@ -0,0 +1,28 @@
+"""Interface of the health check of a target."""
+
+import enum
+from typing import Protocol
+
+from arbutusstall import _effects
+
+
+class TargetHealth(enum.Enum):
+    """Result of a health check.
+
+    Attributes:
+        SERVING: The target itself answered that it serves.
+        NOT_SERVING: It is leaving, unhealthy or another target.
+        UNKNOWN: It did not answer, or refused the check for lack of room.
+    """
+
+    SERVING = "serving"
+    NOT_SERVING = "not-serving"
+    UNKNOWN = "unknown"
+
+
+class HealthCheck(Protocol):
+    """Asks targets whether they serve."""
+
+    def check(self, target: _effects.Announced) -> TargetHealth:
+        """Ask a target; blocks for up to a few seconds."""
+        ...
--- /dev/null
+++ b/src/arbutusstall/platform/health.py
@@ -0,0 +1,74 @@
+"""Health checks of targets by the path that the operator names."""
+
+import logging
+from typing import Protocol
+
+from arbutusstall import _effects
+from arbutusstall import errors
+from arbutusstall._proxy import target_health
+from arbutusstall._shell import http
+
+LOG = logging.getLogger(__name__)
+
+_TIMEOUT_S = 1.0
+_OK = 200
+_INSTANCE = "x-instance-id"
+_NOT_EXECUTED = "x-not-executed"
+_LEAVING = "server-leaving"
+
+
+class HealthPaths(Protocol):
+    """Knows the path of the health check of each service."""
+
+    def health_path(self, service: str) -> str:
+        """Return the path; empty if the service has no health check.
+
+        Raises:
+            LogUnavailable: The store did not answer.
+        """
+        ...
+
+
+class TargetHealthCheck:
+    """Implements `target_health.HealthCheck` over HTTP."""
+
+    def __init__(self, paths: HealthPaths) -> None:
+        self._paths = paths
+
+    def check(self, target: _effects.Announced) -> target_health.TargetHealth:
+        """Ask a target for its health; failures are logged as unknown."""
+        try:
+            path = self._paths.health_path(target.service)
+            if not path:
+                return target_health.TargetHealth.UNKNOWN
+            response = http.send(
+                http.Request(
+                    method="GET",
+                    url=f"http://{target.address}{path}",
+                    timeout_s=_TIMEOUT_S,
+                    fresh=True,
+                )
+            )
+        except errors.ArbutusstallError as exc:
+            LOG.warning(
+                {
+                    "event": "health-unknown",
+                    "target": target.instance,
+                    "reason": str(exc),
+                }
+            )
+            return target_health.TargetHealth.UNKNOWN
+        return _read(target, response)
+
+
+def _read(
+    target: _effects.Announced, response: http.Response
+) -> target_health.TargetHealth:
+    headers = {name.lower(): value for name, value in response.headers}
+    if _NOT_EXECUTED in headers:
+        return target_health.TargetHealth.UNKNOWN
+    is_target = headers.get(_INSTANCE, target.instance) == target.instance
+    is_leaving = headers.get(_LEAVING, "").strip() == "1"
+    if response.status == _OK and is_target and not is_leaving:
+        return target_health.TargetHealth.SERVING
+    return target_health.TargetHealth.NOT_SERVING
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -13,6 +13,7 @@
 from arbutusstall._proxy import node as nodes
 from arbutusstall.platform import dialect
 from arbutusstall.platform import endpoints
+from arbutusstall.platform import health
 from arbutusstall.platform import log
 from arbutusstall.platform import operator
 from arbutusstall.platform import reloading
@@ -46,16 +47,19 @@
 ) -> None:
     output = log_output.configure(settings.node.log_level, _STDOUT_FD)
     store = stores.Store(settings.node.log)
+    source = operator.OperatorSource(store)
     node = nodes.Node(
         settings.node,
         nodes.Environment(
             dialect=dialect.PlatformDialect(settings.service),
             log=log.StoreLog(store),
-            source=operator.OperatorSource(store),
+            source=source,
             roster=roster.StoreRoster(store),
             notice_s=settings.notice_s,
             grace_s=settings.grace_s,
             target_silent_s=settings.target_silent_s,
+            health=health.TargetHealthCheck(source),
+            first_process=settings.first_process,
         ),
     )
     heartbeat_server = http_server.HttpServer(
--- a/src/arbutusstall/platform/operator.py
+++ b/src/arbutusstall/platform/operator.py
@@ -1,6 +1,7 @@
 """Reads what the platform's operator publishes and reports rollouts."""
 
 import logging
+from typing import TypeVar
 
 import msgspec
 
@@ -26,6 +27,8 @@
 }
 _STATES_BY_NAME = {name: state for state, name in _NAMES_BY_STATE.items()}
 
+T = TypeVar("T")
+
 
 class _SplitPart(msgspec.Struct, frozen=True, rename="camel"):
     service: str
@@ -46,6 +49,7 @@
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     max_connections: int = 0
+    health_path: str = ""
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -126,6 +130,26 @@
             position=position + len(records.values),
         )
 
+    def health_path(self, service: str) -> str:
+        """Return the path of the health check of a service's targets.
+
+        It is empty if the newest configuration names none.
+
+        Raises:
+            LogUnavailable: The store did not answer.
+        """
+        for record in self._store.read_newest(_OPERATOR_TOPIC).records:
+            if record.key != _CONFIGURATION_KEY or not record.value:
+                continue
+            try:
+                configuration = _decode(record, _Configuration)
+            except msgspec.MsgspecError as exc:
+                _log_skipped(record, str(exc))
+                continue
+            found = configuration.services.get(service)
+            return found.health_path if found is not None else ""
+        return ""
+
     def report(self, report: _effects.ReportRollout) -> None:
         """Store the state of a rollout for the operator.
 
@@ -178,8 +202,12 @@
     )
 
 
+def _decode(record: stores.KeyedRecord, kind: type[T]) -> T:
+    return msgspec.json.decode(record.value, type=kind)
+
+
 def _decode_configuration(record: stores.KeyedRecord) -> _effects.Published:
-    configuration = msgspec.json.decode(record.value, type=_Configuration)
+    configuration = _decode(record, _Configuration)
     return _effects.Published(
         source_version=configuration.version,
         services=tuple(
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -69,6 +69,8 @@
     platform: _Store
     limits: _Limits = _Limits()
     metrics_port: int = _METRICS_PORT
+    # Whether the whole system starts for the first time.
+    first_start: bool = False
     # Further limits, each as ``name=value``.
     bounds: tuple[str, ...] = ()
 
@@ -83,6 +85,7 @@
         control_address: Listen address for heartbeats of the target.
         target_silent_s: Time without a heartbeat after which the target
             is considered dead.
+        first_process: Whether no earlier process of the node existed.
         notice_s: Time within which the platform notices that a node is
             no longer ready. A stopping node still accepts requests for
             this time.
@@ -95,6 +98,7 @@
     ready_address: str
     control_address: str
     target_silent_s: float
+    first_process: bool
     notice_s: float
     grace_s: float
 
@@ -133,6 +137,7 @@
         control_address=file.listen.control,
         target_silent_s=durations.seconds(file.heartbeat)
         * _MAX_MISSED_HEARTBEATS,
+        first_process=file.first_start,
         notice_s=min(_MAX_NOTICE_S, grace_s / 2),
         grace_s=grace_s - _GRACE_MARGIN_S,
     )
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -134,7 +135,7 @@
             )
 
     def kill(self) -> None:
-        """Kill the process and wait for its end."""
+        """Kill the process, if it runs, and wait for its end."""
         self._end(signal.SIGKILL)
 
     def terminate(self) -> int:
@@ -160,6 +161,15 @@
             if f"event={event} " in f"{line} "
         ]
 
+    def listens_for_heartbeats(self) -> bool:
+        """Return whether the node accepts connections of its target."""
+        host, _, port = self.control.rpartition(":")
+        try:
+            socket.create_connection((host, int(port)), timeout=0.1).close()
+        except OSError:
+            return False
+        return True
+
     def is_ready(self) -> bool:
         """Return whether the node's readiness check succeeds."""
         request = http.Request(
@@ -242,6 +252,13 @@
         )
         return node
 
+    def restart(self) -> None:
+        """Kill all nodes and start them again."""
+        for node in self.nodes_by_name.values():
+            node.kill()
+        for node in self.nodes_by_name.values():
+            node.start()
+
     def send(
         self,
         name: str,
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -14,6 +14,7 @@
 
 _HEARTBEAT_INTERVAL_S = 0.3
 _MISDIRECTED_STATUS = 421
+_HEALTH_PATH = "/health"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,7 +73,9 @@
         instance: Name under which it announces itself.
         executed: The requests that it ran.
         arrivals: The requests that reached it, also those that it refused.
-        state: State in its heartbeats, ``ready`` or ``draining``.
+        state: State in its heartbeats, ``ready`` or ``draining``. In any
+            other state it sends none; it has left in the state ``left``.
+        health_checks: Number of health checks that it answered.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self.executed: list[ExecutedRequest] = []
         self.arrivals: list[Arrival] = []
         self.state = "ready"
+        self.health_checks = 0
         self.acknowledged_s = 0.0
         self._address = f"127.0.0.1:{port}"
         self._control = control
@@ -125,7 +129,11 @@
         return self.send_heartbeat()
 
     def leave(self) -> bool:
-        """Remove the announcement; return whether that was acknowledged."""
+        """Remove the announcement; return whether that was acknowledged.
+
+        The endpoint sends no heartbeats from then on, and still serves.
+        """
+        self.state = "left"
         return self._send("DELETE", b"")
 
     def restart(self) -> None:
@@ -185,6 +193,8 @@
     def _answer(self, request, environ):
         headers = request.headers
         request_id = headers.get("X-Request-Id", "")
+        if request.path == _HEALTH_PATH:
+            return self._answer_health_check()
         addressee = headers.get("X-Target-Instance", self.instance)
         if addressee != self.instance:
             return wrappers.Response("", _MISDIRECTED_STATUS)
@@ -222,6 +232,13 @@
             response.headers["X-Response-Signature"] = f"of-{self.instance}"
         return response
 
+    def _answer_health_check(self):
+        self.health_checks += 1
+        status = 503 if self.state in ("draining", "left") else 200
+        response = wrappers.Response("", status)
+        response.headers["X-Instance-Id"] = self.instance
+        return response
+
 
 class _Handler(serving.WSGIRequestHandler):
     protocol_version = "HTTP/1.1"
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -24,11 +24,13 @@
 
     Attributes:
         out: Answer every request with 503.
+        delay_s: Time before a request is processed, in seconds.
         lose_answers: Store appended records but answer 503.
         expired_to: Offset by topic; the records before it have expired.
     """
 
     out: bool = False
+    delay_s: float = 0.0
     lose_answers: bool = False
     expired_to: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -92,6 +94,7 @@
         """Answer one request (WSGI)."""
         request = wrappers.Request(environ)
         self._store.calls += 1
+        time.sleep(self._store.faults.delay_s)
         if self._store.faults.out:
             response = wrappers.Response("", 503)
         elif request.path == "/log-append":
