Encode versions of any size in messages

Cause: a version in force is the operator's version above 40 bits of log position. From 2^24 on it exceeds 64 bits, msgpack cannot hold it, and the OverflowError left the tick of the control loop before its timer was set again. Hello and heartbeats could not be encoded either.

Change: versions are a type of their own. The codec writes them as before up to 63 bits and as hexadecimal text beyond, in messages, checkpoints, digests and status pages. The operator's part may have 128 bits; what is negative or larger is refused where it is read. Small versions keep their encoding and digest, so older nodes understand them.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -17,6 +17,23 @@
     And the operator publishes version 8 that moves a route to vazeni
     Then within 2 seconds every node routes it to vazeni
 
+  Scenario Outline: a version that is <what> stops no node's control
+    # Guards against review/3: no message that named it could be encoded,
+    # the control loops ended, and machines added later were never used.
+    Given nodes on the platform for kvoty, kvoty and vazeni
+    And the operator publishes version 3 with routes to both services
+    When the operator publishes version <version> that moves a route to vazeni
+    Then within 2 seconds every node routes it to vazeni
+    When a machine for vazeni is added
+    Then within 6 seconds every node uses its target
+    And the status page of a node names version <version>
+
+    Examples:
+      | what                        | version                        |
+      | a Unix time in seconds      | 1796463000                     |
+      | a time in nanoseconds       | 1796463000000000000            |
+      | a date and time in digits   | 20261205121500123456           |
+
   Scenario: a target that leaves gets nothing, and a restart does not forget
     Given nodes on the platform for kvoty and kvoty
     And the operator publishes version 3 with routes to both services
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -1,11 +1,13 @@
 """Steps for nodes on the platform, as separate processes."""
 
 from concurrent import futures
+import json
 import signal
 import time
 from unittest import mock
 
 import behave
+import msgspec
 import platform_mesh
 import platform_soak
 import programs
@@ -13,6 +15,7 @@
 from standins import store
 
 from arbutusstall import errors
+from arbutusstall._shell import http
 from arbutusstall._timeline import lines
 
 _ROSTER_TOPIC = "keyed.arbutusstall-roster"
@@ -77,12 +80,16 @@
         platform_mesh.wait_until(all_targets_answer, 20.0)
 
 
-@behave.when("the operator publishes version 8 that moves a route to vazeni")
-def publish_move(context):
+@behave.when(
+    "the operator publishes version {version} that moves a route to vazeni"
+)
+def publish_move(context, version):
     """Change the service of one route."""
     routes = {**context.routes, "lookup": platform_mesh.route("vazeni")}
-    mesh = context.platform
-    mesh.store.put("config", platform_mesh.configuration(8, routes))
+    value = platform_mesh.configuration(0, routes)
+    # JSON numbers have no size limit, but msgspec encodes 64 bits at most.
+    body = json.dumps({**value, "version": int(version)}).encode()
+    context.platform.store.put("config", msgspec.Raw(body))
 
 
 @behave.then("within 2 seconds every node routes it to vazeni")
@@ -165,6 +172,32 @@
     assert not context.platform.nodes_by_name["n0"].is_ready()
 
 
+@behave.when("a machine for vazeni is added")
+def add_machine(context):
+    """Start a node and its target beside the others."""
+    context.platform.add("n-added", "vazeni")
+
+
+@behave.then("within {seconds:d} seconds every node uses its target")
+def added_target_used(context, seconds):
+    """Send requests through the older nodes until it has run one."""
+    mesh = context.platform
+    for name in ("n0", "n1", "n2"):
+        platform_mesh.wait_until(
+            lambda name=name: mesh.send(name).body == b"i-n-added\n", seconds
+        )
+
+
+@behave.then("the status page of a node names version {version}")
+def status_names_version(context, version):
+    """Read the status; the log's part of a version is below 2**40."""
+    node = context.platform.nodes_by_name["n0"]
+    url = f"http://{node.admin}/v1/status"
+    answer = http.send(http.Request(method="GET", url=url, fresh=True))
+    assert answer.status == 200, answer
+    assert json.loads(answer.body)["version"] >> 40 == int(version), answer
+
+
 @behave.when("the first target reports that it drains")
 def drain_first_target(context):
     """Drain it after it has run a request; its node acknowledges."""
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -7,6 +7,7 @@
 from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
+from arbutusstall._tables import versions
 from arbutusstall._wire import messages
 
 
@@ -138,7 +139,7 @@
 class Published:
     """An external source published a complete configuration."""
 
-    source_version: int
+    source_version: versions.Version
     services: tuple[agreed.Service, ...]
     routes: tuple[agreed.Route, ...]
     limits: agreed.CallerLimits = agreed.CallerLimits()
--- a/src/arbutusstall/_log/checkpoint.py
+++ b/src/arbutusstall/_log/checkpoint.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from arbutusstall import _codec
 from arbutusstall import errors
 from arbutusstall._log import records
 from arbutusstall._tables import agreed as tables
@@ -20,8 +21,8 @@
 MAX_CHUNKS = 1_024
 MAX_STATE_BYTES = 64 * 1024 * 1024
 
-_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
-_DECODER = msgspec.msgpack.Decoder(tables.Agreed)
+_ENCODER = _codec.msgpack_encoder(is_ordered=True)
+_DECODER = _codec.msgpack_decoder(tables.Agreed)
 
 
 def encode(state: tables.Agreed) -> bytes:
--- a/src/arbutusstall/_log/releases.py
+++ b/src/arbutusstall/_log/releases.py
@@ -15,6 +15,7 @@
 from arbutusstall._log import records
 from arbutusstall._log import rollouts
 from arbutusstall._tables import agreed as tables
+from arbutusstall._tables import versions
 
 # Outcomes are evicted in batches, because each eviction copies the
 # mappings; a batch amortizes that cost.
@@ -221,7 +222,7 @@
     changes = rollouts.release_changes(old, offset, record)
     return dataclasses.replace(
         old,
-        version=offset + 1,
+        version=versions.from_log(offset + 1),
         services_by_name=_services(old, note),
         routes_by_prefix=_routes(old, note),
         shares_by_service=changes.shares_by_service,
--- a/src/arbutusstall/_log/rollouts.py
+++ b/src/arbutusstall/_log/rollouts.py
@@ -12,6 +12,7 @@
 from arbutusstall._log import records
 from arbutusstall._systems import shares
 from arbutusstall._tables import agreed as tables
+from arbutusstall._tables import versions
 
 MAX_ENDED_PER_SERVICE = 2
 """Ended rollouts per service that stay in the snapshot."""
@@ -186,7 +187,7 @@
     rejected = rollout.state is tables.RolloutState.ROLLED_BACK
     snapshot = dataclasses.replace(
         old,
-        version=offset + 1,
+        version=versions.from_log(offset + 1),
         shares_by_service={
             **changes.shares_by_service,
             record.service: tables.Shares(
@@ -431,7 +432,7 @@
     }
     snapshot = dataclasses.replace(
         old,
-        version=offset + 1,
+        version=versions.from_log(offset + 1),
         rollouts_by_id={**old.rollouts_by_id, rollout.rollout_id: rollout},
         shares_by_service={
             **old.shares_by_service,
--- a/src/arbutusstall/_proxy/admin.py
+++ b/src/arbutusstall/_proxy/admin.py
@@ -2,9 +2,9 @@
 
 from collections import abc
 
-import msgspec
 import prometheus_client
 
+from arbutusstall import _codec
 from arbutusstall import _core
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
@@ -56,5 +56,5 @@
     def _status(self) -> http_messages.Response:
         found = status.from_tables(self._core.tables)
         return http_messages.Response(
-            status=_OK, headers=_JSON, body=msgspec.json.encode(found)
+            status=_OK, headers=_JSON, body=_codec.json_encode(found)
         )
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -7,6 +7,7 @@
 import prometheus_client
 from werkzeug import wrappers
 
+from arbutusstall import _codec
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall._shell import control
@@ -100,7 +101,7 @@
     def _status(self, request: wrappers.Request) -> wrappers.Response:
         found = status.from_tables(self._core.tables)
         return wrappers.Response(
-            msgspec.json.encode(found), content_type="application/json"
+            _codec.json_encode(found), content_type="application/json"
         )
 
     def _config(self, request: wrappers.Request) -> wrappers.Response:
@@ -115,7 +116,7 @@
             blocked=tuple(sorted(view.blocked)),
         )
         return wrappers.Response(
-            msgspec.json.encode(config), content_type="application/json"
+            _codec.json_encode(config), content_type="application/json"
         )
 
     def _announce(self, request: wrappers.Request) -> wrappers.Response:
--- a/src/arbutusstall/_shell/status.py
+++ b/src/arbutusstall/_shell/status.py
@@ -8,6 +8,7 @@
 from arbutusstall._tables import links
 from arbutusstall._tables import members
 from arbutusstall._tables import node
+from arbutusstall._tables import versions
 from arbutusstall._wire import messages
 
 
@@ -35,7 +36,7 @@
 
     node: str
     data_centre: str
-    version: int
+    version: versions.Version
     root: bool
     scope: str
     known: int
--- a/src/arbutusstall/_systems/deltas.py
+++ b/src/arbutusstall/_systems/deltas.py
@@ -4,9 +4,9 @@
 import dataclasses
 from typing import Any
 
-import msgspec
 import xxhash
 
+from arbutusstall import _codec
 from arbutusstall._tables import agreed
 from arbutusstall._wire import messages
 
@@ -17,7 +17,7 @@
 
 def digest(snapshot: agreed.Snapshot) -> str:
     """Return the hash of a snapshot's canonical encoding."""
-    data = msgspec.json.encode(snapshot, order="sorted")
+    data = _codec.json_encode(snapshot, is_sorted=True)
     return xxhash.xxh3_128_hexdigest(data)
 
 
--- a/src/arbutusstall/_systems/progress.py
+++ b/src/arbutusstall/_systems/progress.py
@@ -42,7 +42,7 @@
         centres: Progress by data centre.
     """
 
-    version: int
+    version: versions.Version
     known: int
     in_force: int
     lacking: tuple[str, ...]
--- a/src/arbutusstall/_tables/agreed.py
+++ b/src/arbutusstall/_tables/agreed.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 
+from arbutusstall._tables import versions
+
 NO_OFFSET = -1
 NO_LEASE = -1
 
@@ -256,8 +258,8 @@
         limits: Limits on callers' requests.
     """
 
-    version: int = 0
-    source_version: int = 0
+    version: versions.Version = versions.NONE
+    source_version: versions.Version = versions.NONE
     limits: CallerLimits = CallerLimits()
     services_by_name: abc.Mapping[str, Service] = dataclasses.field(
         default_factory=dict
--- a/src/arbutusstall/_tables/links.py
+++ b/src/arbutusstall/_tables/links.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from arbutusstall._tables import versions
+
 
 class LinkRole(enum.Enum):
     """Role of the peer relative to this node."""
@@ -35,12 +37,12 @@
     peer: str
     address: str
     role: LinkRole
-    version: int = 0
+    version: versions.Version = versions.NONE
     known: int = 1
     in_force: int = 0
-    minimum: int = 0
+    minimum: versions.Version = versions.NONE
     lacking: tuple[str, ...] = ()
-    sent_version: int = 0
+    sent_version: versions.Version = versions.NONE
     data_centre: str = ""
     attached: bool = False
     label: int = 0
--- a/src/arbutusstall/_tables/versions.py
+++ b/src/arbutusstall/_tables/versions.py
@@ -8,21 +8,61 @@
 
 _LOG_BITS = 40
 _LOG_MASK = (1 << _LOG_BITS) - 1
+# Sources may number their versions by times or by dates written as digits.
+_SOURCE_BITS = 128
+_MAX_SOURCE = (1 << _SOURCE_BITS) - 1
+_MAX = _MAX_SOURCE << _LOG_BITS | _LOG_MASK
 
 
-def combine(source: int, log: int) -> int:
+class Version(int):
+    """A version, or one of its parts; it may exceed 64 bits."""
+
+    __slots__ = ()
+
+
+NONE = Version(0)
+
+
+def combine(source: int, log: int) -> Version:
     """Return the version made of both parts."""
-    return source << _LOG_BITS | log
+    return Version(source << _LOG_BITS | log)
+
+
+def from_log(position: int) -> Version:
+    """Return the version of a log position, without an external source."""
+    return Version(position & _LOG_MASK)
+
+
+def checked(version: int) -> Version:
+    """Return a version that another process sent.
+
+    Raises:
+        ValueError: It is negative or has more than 168 bits.
+    """
+    if not 0 <= version <= _MAX:
+        raise ValueError("version is out of range")
+    return Version(version)
+
+
+def checked_source(version: int) -> Version:
+    """Return the version of an external source.
+
+    Raises:
+        ValueError: It is negative or has more than 128 bits.
+    """
+    if not 0 <= version <= _MAX_SOURCE:
+        raise ValueError("version is out of range")
+    return Version(version)
 
 
-def source_part(version: int) -> int:
+def source_part(version: int) -> Version:
     """Return the external source's part."""
-    return version >> _LOG_BITS
+    return Version(version >> _LOG_BITS)
 
 
-def log_part(version: int) -> int:
+def log_part(version: int) -> Version:
     """Return the position in the log."""
-    return version & _LOG_MASK
+    return Version(version & _LOG_MASK)
 
 
 def has_newer_part(version: int, known: int) -> bool:
@@ -32,7 +72,7 @@
     )
 
 
-def newest_parts(one: int, other: int) -> int:
+def newest_parts(one: int, other: int) -> Version:
     """Return the version with the higher value of each part."""
     return combine(
         max(source_part(one), source_part(other)),
@@ -40,7 +80,7 @@
     )
 
 
-def oldest_parts(one: int, other: int) -> int:
+def oldest_parts(one: int, other: int) -> Version:
     """Return the version with the lower value of each part."""
     return combine(
         min(source_part(one), source_part(other)),
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from arbutusstall import _codec
 from arbutusstall import errors
 from arbutusstall._wire.call_messages import CallAnswer
 from arbutusstall._wire.call_messages import CallBody
@@ -139,11 +140,11 @@
 _KINDS_BY_TYPE: abc.Mapping[type[Any], str] = {
     cls: kind for kind, cls in _TYPES_BY_KIND.items()
 }
-_ENVELOPE_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_ENVELOPE_DECODER = _codec.msgpack_decoder(tuple[str, msgspec.Raw])
 _DECODERS_BY_KIND = {
-    kind: msgspec.msgpack.Decoder(cls) for kind, cls in _TYPES_BY_KIND.items()
+    kind: _codec.msgpack_decoder(cls) for kind, cls in _TYPES_BY_KIND.items()
 }
-_ENCODER = msgspec.msgpack.Encoder()
+_ENCODER = _codec.msgpack_encoder()
 
 
 _COMPRESSED_KIND = "zlib"
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -12,6 +12,7 @@
 from arbutusstall._tables import members
 from arbutusstall._tables import outcomes
 from arbutusstall._tables import relay
+from arbutusstall._tables import versions
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,7 +37,7 @@
     node: str
     data_centre: str
     address: str
-    version: int
+    version: versions.Version
     digest: str
     root: bool = False
     label: int = -1
@@ -93,7 +94,7 @@
 
     attached: bool
     label: int
-    version: int
+    version: versions.Version
     members: int
     reads_source: bool = True
 
@@ -118,7 +119,7 @@
         removed: Keys of the entries to remove, by field name.
     """
 
-    base: int
+    base: versions.Version
     digest: str
     changed: agreed.Snapshot
     removed: abc.Mapping[str, tuple[str, ...]]
@@ -128,7 +129,7 @@
 class SnapshotWanted:
     """Requests the configuration if it is newer than ``version``."""
 
-    version: int
+    version: versions.Version
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -177,10 +178,10 @@
         lacking: Names of some nodes that lack ``version``.
     """
 
-    version: int
+    version: versions.Version
     known: int
     in_force: int
-    minimum: int = 0
+    minimum: versions.Version = versions.NONE
     lacking: tuple[str, ...] = ()
 
 
--- a/src/arbutusstall/platform/operator.py
+++ b/src/arbutusstall/platform/operator.py
@@ -9,6 +9,7 @@
 from arbutusstall import errors
 from arbutusstall._log import source as sources
 from arbutusstall._tables import agreed
+from arbutusstall._tables import versions
 from arbutusstall.platform import durations
 from arbutusstall.platform import store as stores
 
@@ -209,7 +210,7 @@
 def _decode_configuration(record: stores.KeyedRecord) -> _effects.Published:
     configuration = _decode(record, _Configuration)
     return _effects.Published(
-        source_version=configuration.version,
+        source_version=versions.checked_source(configuration.version),
         services=tuple(
             agreed.Service(name=name, max_connections=item.max_connections)
             for name, item in configuration.services.items()
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -116,6 +116,7 @@
     callers: str
     ready: str
     control: str
+    admin: str
     settings: pathlib.Path
     output: pathlib.Path
     process: subprocess.Popen | None = None
@@ -239,6 +240,7 @@
             callers=f"127.0.0.1:{addresses['outbound']}",
             ready=f"127.0.0.1:{addresses['ready']}",
             control=f"127.0.0.1:{addresses['control']}",
+            admin=f"127.0.0.1:{addresses['metrics']}",
             settings=settings,
             output=self._directory / f"{name}.log",
         )
