Keep loops running after an unexpected exception

Cause: timers were set again at the end of their own callback, and tasks and threads ran without a guard, so that one exception ended a tick, a reader or an appender. In threads of an executor it wasn't even logged. A port beyond 65,535 raised OverflowError in the connecting task, and those who waited for the connection were never answered.

Change: Periodic and Tasks run what repeats and what runs beside; each system of a tick, each event, effect and message is guarded by itself; workers treat an unknown exception as an unavailable log or source. Each is logged as unexpected-error with step, reason and place. The decision logic still raises when tests drive it directly.

--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -1,6 +1,7 @@
 """The decision logic of one node, free of I/O."""
 
 from collections import abc
+import contextlib
 import random
 from typing import Any
 
@@ -29,6 +30,8 @@
 from arbutusstall._tables import node
 from arbutusstall._wire import messages
 
+Guard = abc.Callable[[str], contextlib.AbstractContextManager[None]]
+
 _Handler = abc.Callable[..., list[_effects.Effect]]
 
 _EVENT_HANDLERS: dict[type[Any], _Handler] = {
@@ -45,6 +48,22 @@
     _effects.Ordered: publication.on_ordered,
     _effects.SourceChanged: publication.on_source_changed,
 }
+# Run in this order at each tick.
+_SYSTEMS: abc.Mapping[
+    str, abc.Callable[[node.Tables, _clock.Instant], list[_effects.Effect]]
+] = {
+    "root claims": root_claims.run,
+    "tree": tree.run,
+    "liveness": liveness.run,
+    "membership": membership.run,
+    "absences": absences.run,
+    "progress": progress.run,
+    "lease": lease.run,
+    "checkpoint": checkpoint.run,
+    "outcomes": outcomes.run,
+    "rollout": rollout.run,
+    "publication": publication.run,
+}
 _MESSAGE_HANDLERS: dict[type[Any], _Handler] = {
     messages.Hello: tree.on_hello,
     messages.Welcome: tree.on_welcome,
@@ -128,19 +147,21 @@
                 effects += handler(self.tables, event, now)
         return effects
 
-    def tick(self, now: _clock.Instant) -> list[_effects.Effect]:
-        """Run the periodic systems and return the resulting effects."""
-        effects = root_claims.run(self.tables, now)
-        effects += tree.run(self.tables, now)
-        effects += liveness.run(self.tables, now)
-        effects += membership.run(self.tables, now)
-        effects += absences.run(self.tables, now)
-        effects += progress.run(self.tables, now)
-        effects += lease.run(self.tables, now)
-        effects += checkpoint.run(self.tables, now)
-        effects += outcomes.run(self.tables, now)
-        effects += rollout.run(self.tables, now)
-        effects += publication.run(self.tables, now)
+    def tick(
+        self, now: _clock.Instant, guard: Guard | None = None
+    ) -> list[_effects.Effect]:
+        """Run the periodic systems and return the resulting effects.
+
+        Args:
+            guard: Returns the context in which the system with a name
+                runs. If it suppresses an exception, the system has no
+                effects, and the others still run. Without a guard,
+                exceptions are raised.
+        """
+        effects: list[_effects.Effect] = []
+        for name, run in _SYSTEMS.items():
+            with guard(name) if guard else contextlib.nullcontext():
+                effects += run(self.tables, now)
         return effects
 
     def _receive(
--- a/src/arbutusstall/_proxy/control.py
+++ b/src/arbutusstall/_proxy/control.py
@@ -8,6 +8,8 @@
 from arbutusstall import _clock
 from arbutusstall import _core
 from arbutusstall import _effects
+from arbutusstall._proxy import background
+from arbutusstall._shell import failures
 
 Executor = abc.Callable[[Any], None]
 
@@ -24,11 +26,10 @@
     ) -> None:
         self._core = core
         self._clock = clock
-        self._tick_s = tick_s
         self._loop = asyncio.get_running_loop()
         self._events: collections.deque[_effects.Event] = collections.deque()
         self._executors: dict[type[Any], Executor] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._ticks = background.Periodic("tick", tick_s, self._tick)
         self._handle_scheduled = False
         self._stopped = False
 
@@ -54,19 +55,19 @@
     def start(self) -> None:
         """Start the core and its ticks."""
         self._carry_out(self._core.start(self._clock.now()))
-        self._tick()
+        self._ticks.start()
 
     def stop(self) -> None:
         """Handle no further events and ticks."""
         self._stopped = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._ticks.stop()
 
     def _handle(self) -> None:
         self._handle_scheduled = False
         while self._events and not self._stopped:
             event = self._events.popleft()
-            self._carry_out(self._core.handle(event, self._clock.now()))
+            with failures.logged(type(event).__name__):
+                self._carry_out(self._core.handle(event, self._clock.now()))
 
     def _tick(self) -> None:
         # Queued events are handled first: after a pause of the process, the
@@ -74,11 +75,12 @@
         self._handle()
         if self._stopped:
             return
-        self._carry_out(self._core.tick(self._clock.now()))
-        self._timer = self._loop.call_later(self._tick_s, self._tick)
+        now = self._clock.now()
+        self._carry_out(self._core.tick(now, failures.logged))
 
     def _carry_out(self, effects: abc.Iterable[_effects.Effect]) -> None:
         for effect in effects:
             executor = self._executors.get(type(effect))
             if executor is not None:
-                executor(effect)
+                with failures.logged(type(effect).__name__):
+                    executor(effect)
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -12,6 +12,7 @@
 from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._proxy import reading
+from arbutusstall._shell import failures
 from arbutusstall._wire import messages
 
 LOG = logging.getLogger(__name__)
@@ -120,7 +121,8 @@
             except errors.WireError as exc:
                 self._fail(exc.reason)
                 return
-            self.owner.on_message(self, message)
+            with failures.logged(type(message).__name__):
+                self.owner.on_message(self, message)
         del buffer[:start]
 
     def pause_writing(self) -> None:
@@ -237,7 +239,7 @@
             _, connection = await asyncio.get_running_loop().create_connection(
                 lambda: FrameConnection(owner, reads), host, int(port)
             )
-    except (OSError, TimeoutError) as exc:
+    except (OSError, TimeoutError, ValueError, OverflowError) as exc:
         raise errors.PeerUnavailable(
             step="peer.connect",
             peer=address,
--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -16,6 +16,7 @@
 
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import background
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
@@ -319,7 +320,7 @@
         self._idle: list[Connection] = []
         self._open: set[Connection] = set()
         self._opening = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
         self._closed = False
 
     def acquire(
@@ -347,9 +348,7 @@
             callback(self._unavailable("too many connections"))
             return
         self._opening += 1
-        task = asyncio.get_running_loop().create_task(self._connect(callback))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._connect(callback))
 
     def release(self, connection: Connection) -> None:
         """Take a connection back after its request has ended.
@@ -397,7 +396,7 @@
             result = errors.ConnectionRefused(
                 step="target.connect", peer=self.address, reason=str(exc)
             )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             result = self._unavailable(str(exc) or "no connection in time")
         else:
             self._open.add(connection)
--- a/src/arbutusstall/_proxy/http_server.py
+++ b/src/arbutusstall/_proxy/http_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from arbutusstall._proxy import background
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
@@ -106,9 +107,11 @@
         self._address = address
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
-        self._accepting: set[asyncio.Task[None]] = set()
+        self._accepting = background.Tasks()
         self._connections: set[_Connection] = set()
-        self._sweeper: asyncio.TimerHandle | None = None
+        self._sweeps = background.Periodic(
+            "connection timeouts", _SWEEP_INTERVAL_S, self._sweep
+        )
 
     @property
     def busy(self) -> int:
@@ -134,7 +137,7 @@
         self._server = await self.loop.create_server(
             lambda: _Connection(self), sock=self._listener, backlog=_BACKLOG
         )
-        self._sweep()
+        self._sweeps.start()
 
     def close_listener(self) -> None:
         """Accept no further connections and close the idle ones.
@@ -153,8 +156,7 @@
     def close(self) -> None:
         """Close the listener and abort all connections."""
         self.close_listener()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
+        self._sweeps.stop()
         for connection in list(self._connections):
             connection.abort()
 
@@ -176,9 +178,7 @@
             except OSError as exc:
                 LOG.warning({"event": "accept-failed", "reason": exc.strerror})
                 return
-            task = self.loop.create_task(self._adopt(sock))
-            self._accepting.add(task)
-            task.add_done_callback(self._accepting.discard)
+            self._accepting.spawn(self._adopt(sock))
 
     async def _adopt(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -194,7 +194,6 @@
         now_s = self.loop.time()
         for connection in list(self._connections):
             connection.check_timeouts(now_s)
-        self._sweeper = self.loop.call_later(_SWEEP_INTERVAL_S, self._sweep)
 
 
 class _Connection(reading.DataProtocol):
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -8,6 +8,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import background
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import http_client
@@ -129,8 +130,10 @@
         self._target_state = target_states.LocalTargetState(
             self.admission.limit, self._log
         )
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._flusher: asyncio.TimerHandle | None = None
+        self._tasks = background.Tasks()
+        self._flusher = background.Periodic(
+            "outcome counts", _FLUSH_INTERVAL_S, self._counter.flush
+        )
         call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
         call_metrics.QUEUED.set_function(lambda: self.admission.queued)
         call_metrics.REMEMBERED.set_function(lambda: len(table))
@@ -151,8 +154,7 @@
 
     def start(self) -> None:
         """Start to report outcome counts periodically."""
-        self._counter.flush()
-        self._flusher = self._loop.call_later(_FLUSH_INTERVAL_S, self.start)
+        self._flusher.start()
 
     def set_target(self, target: _effects.Announced) -> None:
         """Send calls to ``target`` from now on.
@@ -192,8 +194,7 @@
 
     def stop(self) -> None:
         """Report the last counts and close the idle connections."""
-        if self._flusher is not None:
-            self._flusher.cancel()
+        self._flusher.stop()
         self._counter.flush()
         if self._pool is not None:
             self._pool.close()
@@ -420,9 +421,7 @@
         if running.cancelled:
             self._finish(running, arrivals.unknown_answer(call, CANCELLED))
             return
-        task = self._loop.create_task(self._diagnose_loss(running, outcome))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._diagnose_loss(running, outcome))
 
     def _learn_from_answer(self, state: messages.TargetState) -> None:
         was_leaving = self._target_state.leaving
--- a/src/arbutusstall/_proxy/local_target.py
+++ b/src/arbutusstall/_proxy/local_target.py
@@ -9,6 +9,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall._log import roster
+from arbutusstall._proxy import background
 from arbutusstall._proxy import control
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import roster_client
@@ -55,7 +56,10 @@
         self._roster_load_tried = asyncio.Event()
         self._saved_entry: roster.RosterEntry | None = None
         self._target: _effects.Announced | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
+        self._watch = background.Periodic(
+            "target watch", _CHECK_INTERVAL_S, self._check_silence
+        )
         self._stopping = False
         proxy.on_leaving = self._on_leaving
         loop.on(_effects.RecordAbsence, self._record_absence)
@@ -66,7 +70,7 @@
 
         Without it, other nodes would see this one without a target.
         """
-        self._spawn(self._load_roster())
+        self._tasks.spawn(self._load_roster())
         try:
             async with asyncio.timeout(_ROSTER_START_TIMEOUT_S):
                 await self._roster_load_tried.wait()
@@ -74,16 +78,18 @@
             self._log.emit("roster-late")
 
     def watch(self) -> None:
-        """Check periodically whether the target is silent."""
+        """Start to check periodically whether the target is silent."""
+        self._watch.start()
+
+    def _check_silence(self) -> None:
         if self._announcements.detect_silence(self._loop.time()):
             self._confirmer.stop()
             self._drain("-", "silent")
-        if not self._stopping:
-            self._loop.call_later(_CHECK_INTERVAL_S, self.watch)
 
     def stop(self) -> None:
         """Accept no target any more."""
         self._stopping = True
+        self._watch.stop()
         self._confirmer.stop()
 
     async def announce(self, announcement: announcements.Announcement) -> None:
@@ -108,7 +114,9 @@
     def _on_leaving(self, instance: str) -> None:
         """Record a departure that the target has told in an answer only."""
         departure = self._announcements.leave(instance, _wall_ms())
-        self._spawn(self._record_departure(departure, "told in an answer"))
+        self._tasks.spawn(
+            self._record_departure(departure, "told in an answer")
+        )
 
     def _on_serving(self, announcement: announcements.Announcement) -> None:
         target = _announced(announcement)
@@ -138,7 +146,7 @@
         entry = self._roster_entry(target.instance, target.born_ms)
         if entry != self._saved_entry:
             self._saved_entry = entry
-            self._spawn(self._save_with_retries(entry))
+            self._tasks.spawn(self._save_with_retries(entry))
 
     async def _record_departure(
         self, departure: announcements.Departure, reason: str
@@ -162,7 +170,7 @@
         if entry != self._saved_entry:
             self._saved_entry = entry
             if not await self._roster.save(entry):
-                self._spawn(self._save_with_retries(entry))
+                self._tasks.spawn(self._save_with_retries(entry))
 
     def _drain(self, instance: str, reason: str, departed: str = "") -> None:
         if not self._proxy.admission.draining:
@@ -268,10 +276,10 @@
             return
         start = members.target_start(newest.instance, newest.born_ms)
         if start == effect.start:
-            self._spawn(self.leave(newest.instance))
+            self._tasks.spawn(self.leave(newest.instance))
 
     def _record_absence(self, effect: _effects.RecordAbsence) -> None:
-        self._spawn(self._update_roster(effect))
+        self._tasks.spawn(self._update_roster(effect))
 
     async def _update_roster(self, effect: _effects.RecordAbsence) -> None:
         change = functools.partial(roster.gone_entries, effect.rows)
@@ -280,11 +288,6 @@
             self._log.emit("absence-recorded", {"nodes": names})
             self._control.put(_effects.AbsenceRecorded(rows=effect.rows))
 
-    def _spawn(self, work: abc.Coroutine[None, None, None]) -> None:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _announced(
     announcement: announcements.Announcement,
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -10,8 +10,10 @@
 
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import background
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
+from arbutusstall._shell import failures
 from arbutusstall._systems import estimate
 from arbutusstall._systems import silence
 from arbutusstall._tables import members
@@ -341,6 +343,9 @@
             problem = "no greeting in time"
             if self._connection is not None:
                 self._connection.abort()
+        except Exception as exc:
+            failures.log("peer.open", exc)
+            problem = failures.describe(exc)
         self._opening = None
         self._run_open_callbacks(problem)
 
@@ -407,7 +412,10 @@
         self._remote_by_node: dict[str, RemotePeer] = {}
         self._loop = asyncio.get_running_loop()
         self._last_check_s = self._loop.time()
-        self._timer = self._loop.call_later(_CHECK_INTERVAL_S, self._check)
+        self._checks = background.Periodic(
+            "peer checks", _CHECK_INTERVAL_S, self._check
+        )
+        self._checks.start_later()
 
     def get(self, member: members.Member) -> Peer:
         """Return the inbound proxy of ``member``.
@@ -467,7 +475,7 @@
 
     def close(self) -> None:
         """Close all connections."""
-        self._timer.cancel()
+        self._checks.stop()
         for peer in self._remote_by_node.values():
             peer.close()
 
@@ -480,4 +488,3 @@
                 peer.reset_silence(now_s)
             else:
                 peer.check(now_s)
-        self._timer = self._loop.call_later(_CHECK_INTERVAL_S, self._check)
--- a/src/arbutusstall/_proxy/roster_client.py
+++ b/src/arbutusstall/_proxy/roster_client.py
@@ -9,6 +9,7 @@
 from arbutusstall import errors
 from arbutusstall._log import roster
 from arbutusstall._shell import events
+from arbutusstall._shell import failures
 
 # A target waits one second for the answer to its heartbeat, and a departure is
 # saved before that answer.
@@ -64,4 +65,6 @@
         except (errors.LogUnavailable, TimeoutError) as exc:
             reason = str(exc) or "no answer in time"
             self._log.emit(failed_event, {"reason": reason}, logging.WARNING)
-            return None
+        except Exception as exc:
+            failures.log(failed_event, exc)
+        return None
--- a/src/arbutusstall/_proxy/source_worker.py
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -12,6 +12,7 @@
 from arbutusstall import errors
 from arbutusstall._log import pacing
 from arbutusstall._log import source as sources
+from arbutusstall._shell import failures
 
 LOG = logging.getLogger(__name__)
 
@@ -62,28 +63,24 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _read(self, stop: threading.Event) -> None:
-        failures = 0
+        failed = 0
         position: int | None = None
         while not stop.is_set():
             began_s = _clock.steady_s()
             try:
-                if position is None:
-                    read = self._source.read_all()
-                else:
-                    wait_s = self._settings.poll_s
-                    read = self._source.read_from(position, wait_s)
+                read = self._read_once(position)
             except errors.LogUnavailable as exc:
                 position = None
-                if not failures:
+                if not failed:
                     self._report_availability(
                         available=False, reason=exc.reason
                     )
-                stop.wait(self._backoff_s(failures))
-                failures += 1
+                stop.wait(self._backoff_s(failed))
+                failed += 1
                 continue
-            if failures:
+            if failed:
                 self._report_availability(available=True)
-            failures = 0
+            failed = 0
             position = read.position
             for event in read.events:
                 self._put(event)
@@ -91,33 +88,65 @@
                 pacing.read_pause_s(self._settings, began_s, _clock.steady_s())
             )
 
+    def _read_once(self, position: int | None) -> sources.SourceRead:
+        """Read from a position, or all without one.
+
+        Raises:
+            LogUnavailable: The source did not answer, or its answer cannot
+                be processed.
+        """
+        try:
+            if position is None:
+                return self._source.read_all()
+            return self._source.read_from(position, self._settings.poll_s)
+        except errors.LogUnavailable:
+            raise
+        except Exception as exc:
+            failures.log("source.read", exc)
+            raise _unavailable("source.read", exc) from exc
+
     def _report_availability(
         self, *, available: bool, reason: str = ""
     ) -> None:
         self._put(_effects.SourceChanged(available=available, reason=reason))
 
     def _report(self, report: _effects.ReportRollout) -> None:
-        failures = 0
+        failed = 0
         while not self._stopped.is_set():
             with self._lock:
                 newest = self._newest_by_service[report.service]
             if newest is not report:
                 return
             try:
-                self._source.report(report)
+                self._report_once(report)
             except errors.LogUnavailable as exc:
                 LOG.warning(
                     {
                         "event": "rollout-not-reported",
                         "service": report.service,
-                        "failures": failures + 1,
+                        "failures": failed + 1,
                         "reason": exc.reason,
                     }
                 )
-                self._stopped.wait(self._backoff_s(failures))
-                failures += 1
+                self._stopped.wait(self._backoff_s(failed))
+                failed += 1
                 continue
             return
 
-    def _backoff_s(self, failures: int) -> float:
-        return pacing.backoff_s(self._settings, failures, self._rng)
+    def _report_once(self, report: _effects.ReportRollout) -> None:
+        try:
+            self._source.report(report)
+        except errors.LogUnavailable:
+            raise
+        except Exception as exc:
+            failures.log("source.report", exc)
+            raise _unavailable("source.report", exc) from exc
+
+    def _backoff_s(self, failed: int) -> float:
+        return pacing.backoff_s(self._settings, failed, self._rng)
+
+
+def _unavailable(step: str, exc: Exception) -> errors.LogUnavailable:
+    return errors.LogUnavailable(
+        step=step, peer="-", reason=failures.describe(exc)
+    )
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -1,12 +1,12 @@
 """Streams between nodes for configuration and membership messages."""
 
-import asyncio
 from collections import abc
 import logging
 
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._proxy import background
 from arbutusstall._proxy import bodies
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
@@ -70,18 +70,14 @@
         self._put = put
         self._reads = reads
         self._streams_by_peer: dict[str, _Stream] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
         self._last_encoded: tuple[messages.Message, bytes] | None = None
 
     def connect(self, effect: _effects.Connect) -> None:
         """Open a stream to another node in the background."""
         stream = _Stream(self, effect.address)
         self._register(stream)
-        task = asyncio.get_running_loop().create_task(
-            self._open(stream, effect)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._open(stream, effect))
 
     def accept(
         self, connection: frames.FrameConnection, hello: messages.Hello
--- a/src/arbutusstall/_proxy/target_confirmer.py
+++ b/src/arbutusstall/_proxy/target_confirmer.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 
 from arbutusstall import _effects
+from arbutusstall._proxy import background
 from arbutusstall._proxy import target_health
 from arbutusstall._shell import events
 from arbutusstall._systems import announcements
@@ -35,6 +36,7 @@
         self._confirmations = confirmations
         self._log = log
         self._executor = futures.ThreadPoolExecutor(max_workers=1)
+        self._tasks = background.Tasks()
         self._task: asyncio.Task[None] | None = None
         self._checked_start = ""
 
@@ -62,7 +64,7 @@
             return
         self.stop()
         self._checked_start = target.start
-        self._task = asyncio.get_running_loop().create_task(
+        self._task = self._tasks.spawn(
             self._check(target, on_serving, on_not_serving)
         )
 
--- a/src/arbutusstall/_proxy/target_probe.py
+++ b/src/arbutusstall/_proxy/target_probe.py
@@ -16,7 +16,7 @@
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError, OverflowError):
         return False
     writer.close()
     return False
--- a/src/arbutusstall/_shell/control.py
+++ b/src/arbutusstall/_shell/control.py
@@ -8,6 +8,7 @@
 from arbutusstall import _clock
 from arbutusstall import _core
 from arbutusstall import _effects
+from arbutusstall._shell import failures
 
 Executor = abc.Callable[[Any], None]
 
@@ -59,7 +60,8 @@
             self._handle_until(next_tick_s)
             now = self._clock.now()
             if now.mono_s >= next_tick_s:
-                self._carry_out(self._core.tick(now))
+                with failures.logged("tick"):
+                    self._carry_out(self._core.tick(now, failures.logged))
                 next_tick_s = now.mono_s + self._tick_s
 
     def _handle_until(self, end_s: float) -> None:
@@ -71,10 +73,12 @@
                 event = self._events.get(timeout=left_s)
             except queue.Empty:
                 return
-            self._carry_out(self._core.handle(event, self._clock.now()))
+            with failures.logged(type(event).__name__):
+                self._carry_out(self._core.handle(event, self._clock.now()))
 
     def _carry_out(self, effects: abc.Iterable[_effects.Effect]) -> None:
         for effect in effects:
             executor = self._executors.get(type(effect))
             if executor is not None:
-                executor(effect)
+                with failures.logged(type(effect).__name__):
+                    executor(effect)
--- a/src/arbutusstall/_shell/log_worker.py
+++ b/src/arbutusstall/_shell/log_worker.py
@@ -13,6 +13,7 @@
 from arbutusstall._log import pacing
 from arbutusstall._log import pending
 from arbutusstall._log import records
+from arbutusstall._shell import failures
 
 _APPENDER_COUNT = 2
 
@@ -116,12 +117,14 @@
         record = item.record
         try:
             offset = self._log.append(records.encode(record))
-        except errors.LogUnavailable as exc:
+        except Exception as exc:
+            if not isinstance(exc, errors.LogUnavailable):
+                failures.log("log.append", exc)
             with self._changed:
                 kept = self._pending.failed(item, self._now_s())
                 self._changed.notify()
             if not kept:
-                self._give_up(record, exc.reason)
+                self._give_up(record, failures.describe(exc))
             return
         with self._changed:
             self._pending.answered(item)
@@ -132,19 +135,21 @@
 
     def _read(self, offset: int, stop: threading.Event) -> None:
         wait_s = 0.0
-        failures = 0
+        failed = 0
         while not stop.is_set():
             began_s = self._now_s()
             try:
                 answer = self._log.read(offset, wait_s)
-            except errors.LogUnavailable as exc:
-                self._sink.put(_effects.LogFailed(reason=exc.reason))
-                stop.wait(
-                    pacing.backoff_s(self._settings, failures, self._rng)
+            except Exception as exc:
+                if not isinstance(exc, errors.LogUnavailable):
+                    failures.log("log.read", exc)
+                self._sink.put(
+                    _effects.LogFailed(reason=failures.describe(exc))
                 )
-                failures += 1
+                stop.wait(pacing.backoff_s(self._settings, failed, self._rng))
+                failed += 1
                 continue
-            failures = 0
+            failed = 0
             wait_s = self._settings.poll_s
             offset = _next_offset(offset, answer)
             self._sink.put(answer)
--- a/src/arbutusstall/_shell/outcome_counter.py
+++ b/src/arbutusstall/_shell/outcome_counter.py
@@ -6,6 +6,7 @@
 import threading
 
 from arbutusstall import _effects
+from arbutusstall._shell import failures
 from arbutusstall._tables import outcomes
 from arbutusstall._wire import messages
 
@@ -105,5 +106,6 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(_FLUSH_INTERVAL_S):
-            self.flush()
+            with failures.logged("outcome counts"):
+                self.flush()
         self.flush()
--- a/src/arbutusstall/platform/endpoints.py
+++ b/src/arbutusstall/platform/endpoints.py
@@ -1,14 +1,15 @@
 """HTTP handlers for readiness checks and for heartbeats of the target."""
 
-import asyncio
 import logging
 from typing import Protocol
 import urllib.parse
 
 import msgspec
 
+from arbutusstall._proxy import background
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
+from arbutusstall._shell import failures
 from arbutusstall._systems import announcements
 from arbutusstall.platform import durations
 
@@ -78,25 +79,18 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Answer one heartbeat (PUT) or departure (DELETE)."""
-        task = asyncio.get_running_loop().create_task(self._answer(exchange))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._answer(exchange))
 
     async def _answer(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
         path = request.target.partition("?")[0]
-        instance = urllib.parse.unquote(path.removeprefix(_INSTANCES_PATH))
-        status = _NOT_FOUND
-        if path.startswith(_INSTANCES_PATH) and instance:
-            if request.method == "PUT":
-                status = await self._announce(instance, request.body)
-            elif request.method == "DELETE":
-                await self._node.leave(instance)
-                status = _OK
+        status = _UNAVAILABLE
+        with failures.logged("heartbeat"):
+            status = await self._process(request, path)
         body = b"{}" if status == _OK else b""
         exchange.answer(
             http_messages.Response(
@@ -104,6 +98,18 @@
             )
         )
 
+    async def _process(self, request: http_messages.Request, path: str) -> int:
+        """Process a heartbeat or a departure; return the status."""
+        instance = urllib.parse.unquote(path.removeprefix(_INSTANCES_PATH))
+        if not path.startswith(_INSTANCES_PATH) or not instance:
+            return _NOT_FOUND
+        if request.method == "PUT":
+            return await self._announce(instance, request.body)
+        if request.method == "DELETE":
+            await self._node.leave(instance)
+            return _OK
+        return _NOT_FOUND
+
     async def _announce(self, instance: str, body: bytes) -> int:
         try:
             announcement = _decode(instance, body)
--- a/src/arbutusstall/platform/reloading.py
+++ b/src/arbutusstall/platform/reloading.py
@@ -1,12 +1,12 @@
 """Reloads the settings file, on request or after it has changed."""
 
-import asyncio
 import dataclasses
 import logging
 import os
 import pathlib
 
 from arbutusstall import errors
+from arbutusstall._proxy import background
 from arbutusstall._shell import events
 from arbutusstall.platform import settings as platform_settings
 
@@ -32,12 +32,17 @@
         self._settings = settings
         self._log = log
         self._loaded_stamp = self._file_stamp()
+        self._checks = background.Periodic(
+            "settings file", _CHECK_INTERVAL_S, self._check
+        )
 
     def start(self) -> None:
         """Check now and periodically whether the file has changed."""
+        self._checks.start()
+
+    def _check(self) -> None:
         if self._file_stamp() != self._loaded_stamp:
             self.reload()
-        asyncio.get_running_loop().call_later(_CHECK_INTERVAL_S, self.start)
 
     def reload(self) -> None:
         """Load the file again, whether or not it has changed."""
