Refuse odd values where they are read

Cause: each reader caught its own choice of errors, none of them the RecursionError of a nested text. Types were checked, ranges were not, so that numbers and ports came into rows that no message can hold and no socket connect to, and ids with line breaks into headers.

Change: _values.py has the types with their ranges and one function that reports all that can be wrong as one error; all readers use both. What is refused costs only itself and gets one log line. Deadlines and limits that are too large count as very large ones; a page that repeats and an offset beyond 40 bits make the store unavailable; an order has to stand under its service's key.

Evidence: odd_values.feature alters single values for each reader and fuzzes them (hypothesis, derandomised); what is accepted has to pass through messages and headers.

--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -1,15 +1,28 @@
 """Steps for values that other processes and writers send."""
 
+import ast
+import copy
+import json
+import logging
+import random
+import struct
+
 import behave
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import odd_readers
+import platform_mesh
 import xxhash
 
+from arbutusstall import _effects
+from arbutusstall import errors
+from arbutusstall._proxy import http_messages
 from arbutusstall._systems import deltas
 from arbutusstall._tables import agreed
 from arbutusstall._tables import versions
 from arbutusstall._wire import messages
+from arbutusstall.platform import dialect
 
 _PROPERTY = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=200, database=None
@@ -19,6 +32,23 @@
     strategies.integers(0, 2**128 - 1) | strategies.integers(0, 2**25),
     strategies.integers(0, 2**40 - 1),
 )
+_NESTING = b'{"a":' * 100_000
+_NO_TEXT = b"\xff\xfe{}"
+_ROSTER_TOPIC = "keyed.arbutusstall-roster"
+_ODD_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**130), 2**130)
+    | strategies.sampled_from([2**31, 2**40, 2**53, 2**63, 2**64, -1, 0])
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=300)
+    | strategies.sampled_from(["10.0.0.1:65536", "9e9s", "99999999999s"]),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner)
+    ),
+    max_leaves=5,
+)
 
 
 def _messages_naming(version):
@@ -27,7 +57,11 @@
     )
     return (
         messages.Hello(
-            node="n", data_centre="d", address="a", version=version, digest=""
+            node="n",
+            data_centre="d",
+            address="10.0.0.1:7600",
+            version=version,
+            digest="",
         ),
         messages.Heartbeat(attached=True, label=1, version=version, members=0),
         messages.SnapshotWanted(version=version),
@@ -64,3 +98,345 @@
         snapshot, order="sorted", enc_hook=lambda value: int(value)
     )
     assert deltas.digest(snapshot) == xxhash.xxh3_128_hexdigest(plain)
+
+
+class _LineCollector(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(record.msg)
+
+
+_DOCUMENTS = {
+    "roster entry": odd_readers.ROSTER_ENTRY,
+    "heartbeat": odd_readers.HEARTBEAT,
+    "order": odd_readers.ORDER,
+    "configuration": odd_readers.CONFIGURATION,
+    "item": {"value": odd_readers.base64_text(b"good")},
+    "member row": odd_readers.MEMBER_ROW,
+}
+_OPERATOR_KEYS = {"order": "rollout/kvoty", "configuration": "config"}
+
+
+def _altered(document, what):
+    """Return the encoded document with one value replaced, or odd bytes."""
+    special = {
+        "nesting": _NESTING,
+        "bytes that are no text": _NO_TEXT,
+        "a list in its place": b"[]",
+    }
+    if what in special:
+        return special[what]
+    path, _, text = what.partition(" = ")
+    altered = copy.deepcopy(document)
+    place = altered
+    *parents, name = path.split(".")
+    for parent in parents:
+        place = place[parent]
+    place[name] = _literal(text)
+    return json.dumps(altered).encode()
+
+
+def _literal(text):
+    base, is_power, exponent = text.partition("**")
+    if is_power and base.isdecimal():
+        return int(base) ** int(exponent)
+    # Feature files double the backslashes of an escape.
+    return (
+        {"true": True, "null": None}.get(text)
+        if text
+        in (
+            "true",
+            "null",
+        )
+        else ast.literal_eval(text.replace("\\\\", "\\"))
+    )
+
+
+def _read_items(good, odd):
+    """Let the store's client read a page with a good and an odd item."""
+    items = [
+        {"key": f"k{n}", "offset": n, **json.loads(text)}
+        for n, text in enumerate((good, odd))
+    ]
+    body = {"items": items, "more": False, "endOffset": 2}
+    accepted = odd_readers.read_store(200, json.dumps(body).encode())
+    return accepted[-1].records
+
+
+def _read_rows(good, odd):
+    """Decode a message with a good and an odd row."""
+    rows = [json.loads(good), json.loads(odd)]
+    data = msgspec.msgpack.encode(("members", {"rows": rows}))
+    return messages.decode(data).rows
+
+
+def _read_pair(record, good, odd):
+    match record:
+        case "roster entry":
+            return odd_readers.read_roster(odd, good)
+        case "order" | "configuration":
+            return odd_readers.read_operator(_OPERATOR_KEYS[record], odd, good)
+        case "item":
+            return _read_items(good, odd)
+        case "member row":
+            return _read_rows(good, odd)
+        case "heartbeat":
+            return odd_readers.read_heartbeats(odd, good)
+    raise AssertionError(record)
+
+
+@behave.given("a good {record} and a copy of it with {what}")
+def good_and_odd(context, record, what):
+    """Encode both."""
+    context.record = record
+    context.odd_instance = ""
+    document = _DOCUMENTS[record]
+    context.good = json.dumps(document).encode()
+    if what.startswith("instance = ") and record == "heartbeat":
+        context.odd_instance = _literal(what.removeprefix("instance = "))
+        context.odd = context.good
+    else:
+        context.odd = _altered(document, what)
+
+
+@behave.when("both are read")
+def read_both(context):
+    """Read them, and keep the log lines."""
+    context.lines = _LineCollector()
+    log = logging.getLogger("arbutusstall")
+    log.addHandler(context.lines)
+    context.add_cleanup(log.removeHandler, context.lines)
+    if context.odd_instance:
+        odd = odd_readers.read_heartbeats(
+            context.odd, instance=context.odd_instance
+        )
+        context.accepted = odd + odd_readers.read_heartbeats(context.good)
+        return
+    context.accepted = _read_pair(context.record, context.good, context.odd)
+
+
+@behave.then("only the good one is used, and one line names the odd one")
+def only_good_used(context):
+    """Check what was accepted; each read of the odd one logs one line."""
+    assert len(context.accepted) == 1, context.accepted
+    events = {line["event"] for line in context.lines.lines}
+    assert len(events) == 1, context.lines.lines
+    assert events <= {
+        "record-skipped",
+        "heartbeat-refused",
+        "member-skipped",
+    }, events
+
+
+@behave.given("a store that answers with {what}")
+def odd_store(context, what):
+    """Create its answers to both kinds of reads."""
+    page = {"items": [], "more": False, "endOffset": 2}
+    item = {"key": "k", "value": "", "offset": 1}
+    context.page, context.records = {
+        "nesting": (_NESTING, b""),
+        "an offset of 2**41": (
+            json.dumps({**page, "endOffset": 2**41}).encode(),
+            struct.pack(">QQ", 2**41, 0),
+        ),
+        "a page that repeats": (
+            json.dumps({**page, "items": [item], "more": True}).encode(),
+            b"",
+        ),
+    }[what]
+
+
+@behave.when("it is asked for all records and for new ones")
+def ask_store(context):
+    """Read both answers."""
+    context.accepted = odd_readers.read_store(200, context.page)
+    context.accepted += odd_readers.read_store(200, context.records)
+
+
+@behave.then("the store is unavailable each time")
+def store_unavailable(context):
+    """Check that nothing was accepted."""
+    assert context.accepted == (), context.accepted
+
+
+@behave.when('a caller\'s deadline is "{text}"')
+def read_deadline(context, text):
+    """Decode a request with it."""
+    request = http_messages.Request(
+        method="GET",
+        target="/",
+        headers=(("X-Request-Id", "r"), ("X-Deadline-Ms", text)),
+    )
+    try:
+        read = dialect.PlatformDialect("s").read_request(request)
+        context.deadline = str(read.deadline_ms)
+    except errors.WireError:
+        context.deadline = "malformed"
+
+
+@behave.then("it is read as {deadline}")
+def check_deadline(context, deadline):
+    """Compare the deadline."""
+    assert context.deadline == deadline, context.deadline
+
+
+@behave.when('a target names the limit "{text}"')
+def read_limit(context, text):
+    """Decode an answer with it."""
+    target = _effects.Announced(
+        service="s", version="v", address="10.0.0.1:80", slots=1
+    )
+    response = http_messages.Response(
+        status=200, headers=(("Server-Limit", text),)
+    )
+    state = dialect.PlatformDialect("s").target_state(target, response)
+    context.limit = state.limit_per_s
+
+
+@behave.then("it is taken as {limit}")
+def check_limit(context, limit):
+    """Compare the limit."""
+    expected = None if limit == "no limit" else float(limit)
+    assert context.limit == expected, context.limit
+
+
+def _paths(document, prefix=()):
+    for name, value in document.items():
+        yield (*prefix, name)
+        if isinstance(value, dict):
+            yield from _paths(value, (*prefix, name))
+
+
+@strategies.composite
+def _altered_documents(draw, document):
+    """Draw a document in which up to three values are replaced."""
+    altered = copy.deepcopy(document)
+    for _ in range(draw(strategies.integers(0, 3))):
+        path = draw(strategies.sampled_from(sorted(_paths(altered))))
+        place = altered
+        for name in path[:-1]:
+            place = place[name]
+        place[path[-1]] = draw(_ODD_VALUES)
+    return json.dumps(altered).encode()
+
+
+def _cut(data):
+    rng = random.Random(data)
+    return data[: rng.randrange(len(data) + 1)]
+
+
+def _odd_texts(document):
+    altered = _altered_documents(document)
+    return (
+        altered
+        | altered.map(_cut)
+        | strategies.binary(max_size=50)
+        | strategies.sampled_from([_NESTING, b"[" * 100_000, _NO_TEXT, b""])
+    )
+
+
+def _read_page(data):
+    return odd_readers.read_store(200, data)
+
+
+def _record_envelope():
+    return {
+        "kind": "rollout-order",
+        "body": {
+            "record_id": "o",
+            "order_id": "o",
+            "service": "s",
+            "version": "v",
+            "previous": "w",
+            "started_s": 1.0,
+            "by_s": 2.0,
+        },
+    }
+
+
+def _repack(data):
+    """Encode a JSON document as a message; other bytes stay as they are."""
+    try:
+        body = json.loads(data)
+        return msgspec.msgpack.encode(("members", {"rows": [body]}))
+    except (ValueError, RecursionError, OverflowError):
+        return data
+
+
+_READERS = {
+    "the roster's reader": (
+        odd_readers.read_roster,
+        _odd_texts(odd_readers.ROSTER_ENTRY),
+    ),
+    "the heartbeats' reader": (
+        odd_readers.read_heartbeats,
+        _odd_texts(odd_readers.HEARTBEAT),
+    ),
+    "the operator's reader": (
+        lambda data: (
+            odd_readers.read_operator("config", data)
+            + odd_readers.read_operator("rollout/kvoty", data)
+        ),
+        _odd_texts(odd_readers.CONFIGURATION) | _odd_texts(odd_readers.ORDER),
+    ),
+    "the reader of log records": (
+        odd_readers.read_record,
+        _odd_texts(_record_envelope()),
+    ),
+    "the reader of messages": (
+        odd_readers.read_message,
+        _odd_texts(odd_readers.MEMBER_ROW).map(_repack),
+    ),
+    "the store's client": (
+        _read_page,
+        _odd_texts({"items": [], "more": False, "endOffset": 2, "offset": 1}),
+    ),
+}
+
+
+@behave.then(
+    "{reader} raises only its own errors, and what it accepts can be sent"
+)
+def reader_copes(context, reader):
+    """Read altered documents, cut ones and bytes of all kinds."""
+    read, texts = _READERS[reader]
+
+    @_PROPERTY
+    @hypothesis.given(texts)
+    def check(data):
+        for item in read(data):
+            odd_readers.check_sendable(item)
+
+    check()
+
+
+@behave.given("odd entries in the roster")
+def odd_roster(context):
+    """Have the store of the nodes hold some before they start."""
+    document = odd_readers.ROSTER_ENTRY
+    values = [
+        _altered(document, "nesting"),
+        _altered(document, "member.slots = 2**70"),
+        _altered(document, 'member.inbound = "127.0.0.1:99999"'),
+        _altered(document, "member.slots = -1"),
+        _NO_TEXT,
+    ]
+    context.stored_before = {
+        _ROSTER_TOPIC: [
+            bytes([2]) + f"o{number}".encode() + value
+            for number, value in enumerate(values)
+        ]
+    }
+
+
+@behave.then("no node has logged an unexpected error")
+def nothing_unexpected(context):
+    """Check the logs of all nodes."""
+    for node in context.platform.nodes_by_name.values():
+        assert isinstance(node, platform_mesh.NodeProcess)
+        assert not node.lines("unexpected-error"), node.name
+        text = node.output.read_text(errors="replace")
+        assert "Traceback" not in text, text
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -46,6 +46,8 @@
     mesh = platform_mesh.PlatformMesh(context.directory)
     context.add_cleanup(mesh.stop)
     context.platform = mesh
+    for topic, values in getattr(context, "stored_before", {}).items():
+        mesh.store.append(topic, values)
     for number, service in enumerate(_services(services)):
         mesh.add(f"n{number}", service)
     for node in mesh.nodes_by_name.values():
@@ -182,10 +184,15 @@
 def added_target_used(context, seconds):
     """Send requests through the older nodes until it has run one."""
     mesh = context.platform
-    for name in ("n0", "n1", "n2"):
-        platform_mesh.wait_until(
-            lambda name=name: mesh.send(name).body == b"i-n-added\n", seconds
-        )
+    added = mesh.endpoints_by_node["n-added"]
+    for name in mesh.nodes_by_name:
+        run_before = len(added.executed)
+
+        def is_used(name=name, run_before=run_before):
+            mesh.send(name, "/w/1")
+            return len(added.executed) > run_before
+
+        platform_mesh.wait_until(is_used, seconds)
 
 
 @behave.then("the status page of a node names version {version}")
--- a/src/arbutusstall/_log/records.py
+++ b/src/arbutusstall/_log/records.py
@@ -274,8 +274,16 @@
                 peer="log",
                 reason=f"unknown record kind {envelope.kind!r}",
             )
-        return msgspec.json.decode(envelope.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        record: Record = msgspec.json.decode(envelope.body, type=kind)
+        # Its numbers go on into messages, which hold 64 bits.
+        msgspec.msgpack.encode(record)
+        return record
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        RecursionError,
+        OverflowError,
+    ) as exc:
         raise errors.WireError(
             step="record.decode", peer="log", reason=str(exc)
         ) from exc
--- a/src/arbutusstall/_log/roster.py
+++ b/src/arbutusstall/_log/roster.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import Protocol
 
+from arbutusstall import _values
 from arbutusstall._tables import members
 
 
@@ -23,8 +24,8 @@
     """
 
     member: members.Member
-    instance: str
-    born_ms: int = 0
+    instance: _values.Token
+    born_ms: _values.Number = 0
     departed: bool = False
     absent: bool = False
 
--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -32,7 +32,7 @@
 _MIN_FINAL_STATUS = 200
 # A chunk of one byte has five bytes of chunked encoding around it.
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,9})")
 
 ResponseFilter = abc.Callable[[http_messages.Response], bool]
 ResponseCallback = abc.Callable[
--- a/src/arbutusstall/_shell/admin.py
+++ b/src/arbutusstall/_shell/admin.py
@@ -10,6 +10,8 @@
 from arbutusstall import _codec
 from arbutusstall import _core
 from arbutusstall import _effects
+from arbutusstall import _values
+from arbutusstall import errors
 from arbutusstall._shell import control
 from arbutusstall._shell import control_metrics
 from arbutusstall._shell import inbound
@@ -28,10 +30,10 @@
         slots: Number of requests that the target executes concurrently.
     """
 
-    service: str
-    version: str
-    address: str
-    slots: int
+    service: _values.Name
+    version: _values.Name
+    address: _values.Address
+    slots: _values.Slots
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -121,9 +123,11 @@
 
     def _announce(self, request: wrappers.Request) -> wrappers.Response:
         try:
-            body = msgspec.json.decode(request.get_data(), type=Announcement)
-        except msgspec.MsgspecError as exc:
-            return wrappers.Response(f"{exc}\n", 400)
+            body = _values.decode_json(
+                request.get_data(), Announcement, step="announce.decode"
+            )
+        except errors.WireError as exc:
+            return wrappers.Response(f"{exc.reason}\n", 400)
         event = _effects.Announced(
             service=body.service,
             version=body.version,
--- a/src/arbutusstall/_shell/target.py
+++ b/src/arbutusstall/_shell/target.py
@@ -17,6 +17,7 @@
 _PROBE_TIMEOUT_S = 0.2
 _PROBE_INTERVAL_S = 0.01
 _SHED_STATUS = 503
+_MAX_RETRY_AFTER_DIGITS = 9
 
 
 def exchange(
@@ -118,4 +119,5 @@
 
 def _retry_after_ms(response: http.Response) -> int:
     value = headers.get(response.headers, headers.RETRY_AFTER)
-    return int(value) * 1000 if value.isdecimal() else 0
+    is_valid = value.isdecimal() and len(value) <= _MAX_RETRY_AFTER_DIGITS
+    return int(value) * 1000 if is_valid else 0
--- a/src/arbutusstall/_tables/members.py
+++ b/src/arbutusstall/_tables/members.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from arbutusstall import _values
+
 
 class MemberState(enum.Enum):
     """State of a node and its target.
@@ -47,17 +49,17 @@
             announce one.
     """
 
-    node: str
-    data_centre: str
-    incarnation: int
-    sequence: int = 0
+    node: _values.Name
+    data_centre: _values.Name
+    incarnation: _values.Number
+    sequence: _values.Number = 0
     state: MemberState = MemberState.STARTING
-    service: str = ""
-    version: str = ""
-    target: str = ""
-    slots: int = 0
-    inbound: str = ""
-    relay: str = ""
+    service: _values.Name = ""
+    version: _values.Name = ""
+    target: _values.OptionalAddress = ""
+    slots: _values.Count = 0
+    inbound: _values.OptionalAddress = ""
+    relay: _values.OptionalAddress = ""
     departed: str = ""
 
     @property
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -6,6 +6,8 @@
 """
 
 from collections import abc
+import dataclasses
+import logging
 from typing import Any
 import zlib
 
@@ -13,6 +15,7 @@
 
 from arbutusstall import _codec
 from arbutusstall import errors
+from arbutusstall._tables import members
 from arbutusstall._wire.call_messages import CallAnswer
 from arbutusstall._wire.call_messages import CallBody
 from arbutusstall._wire.call_messages import CallBodyWanted
@@ -82,6 +85,8 @@
     "encode",
 ]
 
+LOG = logging.getLogger(__name__)
+
 Message = (
     Hello
     | Welcome
@@ -147,6 +152,15 @@
 _ENCODER = _codec.msgpack_encoder()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _RawRows:
+    rows: tuple[msgspec.Raw, ...]
+
+
+_RAW_ROWS_DECODER = _codec.msgpack_decoder(_RawRows)
+_MEMBER_DECODER = _codec.msgpack_decoder(members.Member)
+
+
 _COMPRESSED_KIND = "zlib"
 _MIN_COMPRESSIBLE_BYTES = 400
 _MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
@@ -190,10 +204,10 @@
         decoder = _DECODERS_BY_KIND.get(kind)
         if decoder is None:
             raise _invalid(f"unknown message kind {kind!r}")
-        message: Message = decoder.decode(body)
+        message: Message = _decode_body(decoder, kind, body)
     except (
         msgspec.MsgspecError,
-        UnicodeDecodeError,
+        ValueError,
         RecursionError,
         zlib.error,
     ) as exc:
@@ -201,6 +215,28 @@
     return message
 
 
+def _decode_body(
+    decoder: "msgspec.msgpack.Decoder[Any]", kind: str, body: msgspec.Raw
+) -> Any:
+    try:
+        return decoder.decode(body)
+    except msgspec.ValidationError:
+        if kind != _KINDS_BY_TYPE[MemberUpdate]:
+            raise
+        return _valid_members(body)
+
+
+def _valid_members(body: msgspec.Raw) -> MemberUpdate:
+    """Decode member rows, without those that cannot be used."""
+    rows = []
+    for raw in _RAW_ROWS_DECODER.decode(body).rows:
+        try:
+            rows.append(_MEMBER_DECODER.decode(raw))
+        except msgspec.ValidationError as exc:
+            LOG.warning({"event": "member-skipped", "reason": str(exc)})
+    return MemberUpdate(rows=tuple(rows))
+
+
 def _decompress(body: msgspec.Raw) -> bytes:
     compressed = msgspec.msgpack.decode(body, type=bytes)
     decompressor = zlib.decompressobj()
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 
+from arbutusstall import _values
 from arbutusstall._tables import agreed
 from arbutusstall._tables import comparisons
 from arbutusstall._tables import members
@@ -34,9 +35,9 @@
             parents reaches a root.
     """
 
-    node: str
-    data_centre: str
-    address: str
+    node: _values.Name
+    data_centre: _values.Name
+    address: _values.Address
     version: versions.Version
     digest: str
     root: bool = False
@@ -74,7 +75,7 @@
 
     node: str
     retry_after_s: float
-    others: tuple[str, ...] = ()
+    others: tuple[_values.Address, ...] = ()
     local_size: int = 1
 
 
--- a/src/arbutusstall/platform/dialect.py
+++ b/src/arbutusstall/platform/dialect.py
@@ -60,6 +60,9 @@
     dialects.FailureKind.TIMEOUT: 504,
 }
 _MIN_RETRY_AFTER_MS = 20
+# Larger numbers mean no bound, and arithmetic on them could overflow.
+_MAX_DEADLINE_MS = 1e9
+_MAX_LIMIT_PER_S = 1e9
 
 
 class PlatformDialect:
@@ -228,9 +231,12 @@
     if not text:
         return None
     try:
-        return max(0, int(float(text)))
+        deadline_ms = float(text)
     except ValueError:
-        raise _invalid(f"deadline {text!r}") from None
+        deadline_ms = math.nan
+    if math.isnan(deadline_ms):
+        raise _invalid(f"deadline {text!r}")
+    return int(min(max(0.0, deadline_ms), _MAX_DEADLINE_MS))
 
 
 def _parse_limit(text: str, target: _effects.Announced) -> float | None:
@@ -240,7 +246,7 @@
     except ValueError:
         limit_per_s = math.nan
     if math.isfinite(limit_per_s) and limit_per_s >= 0.0:
-        return limit_per_s
+        return min(limit_per_s, _MAX_LIMIT_PER_S)
     LOG.warning(
         {
             "event": "target-limit-ignored",
--- a/src/arbutusstall/platform/endpoints.py
+++ b/src/arbutusstall/platform/endpoints.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from arbutusstall import _values
+from arbutusstall import errors
 from arbutusstall._proxy import background
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
@@ -43,23 +45,23 @@
 
 
 class _Info(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
-    version: str
-    slots: int
+    service: _values.Name
+    version: _values.Name
+    slots: _values.Slots
 
 
 class _Status(msgspec.Struct, frozen=True, rename="camel"):
     state: str
-    sequence: int
+    sequence: _values.Number
     cold_remaining: str = "0ms"
 
 
 class _Heartbeat(msgspec.Struct, frozen=True, rename="camel"):
-    address: str
+    address: _values.Address
     info: _Info
     status: _Status
     # Start time of the target in milliseconds since the epoch.
-    born: int = 0
+    born: _values.Number = 0
 
 
 class ReadinessHandler:
@@ -106,32 +108,43 @@
         if request.method == "PUT":
             return await self._announce(instance, request.body)
         if request.method == "DELETE":
-            await self._node.leave(instance)
-            return _OK
+            return await self._leave(instance)
         return _NOT_FOUND
 
+    async def _leave(self, instance: str) -> int:
+        try:
+            _values.check_name(instance)
+        except ValueError as exc:
+            _log_refused(instance, str(exc))
+            return _BAD_REQUEST
+        await self._node.leave(instance)
+        return _OK
+
     async def _announce(self, instance: str, body: bytes) -> int:
         try:
             announcement = _decode(instance, body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
-            LOG.warning(
-                {
-                    "event": "heartbeat-refused",
-                    "target": instance,
-                    "reason": str(exc),
-                }
-            )
+        except errors.WireError as exc:
+            _log_refused(instance, exc.reason)
+            return _BAD_REQUEST
+        except ValueError as exc:
+            _log_refused(instance, str(exc))
             return _BAD_REQUEST
         await self._node.announce(announcement)
         return _OK
 
 
+def _log_refused(instance: str, reason: str) -> None:
+    LOG.warning(
+        {"event": "heartbeat-refused", "target": instance, "reason": reason}
+    )
+
+
 def _decode(instance: str, body: bytes) -> announcements.Announcement:
-    heartbeat = msgspec.json.decode(body, type=_Heartbeat)
+    heartbeat = _values.decode_json(body, _Heartbeat, step="heartbeat.decode")
     if heartbeat.status.state not in _TARGET_STATES:
         raise ValueError(f"unknown state {heartbeat.status.state!r}")
     return announcements.Announcement(
-        instance=instance,
+        instance=_values.check_name(instance),
         service=heartbeat.info.service,
         version=heartbeat.info.version,
         address=heartbeat.address,
--- a/src/arbutusstall/platform/operator.py
+++ b/src/arbutusstall/platform/operator.py
@@ -1,11 +1,13 @@
 """Reads what the platform's operator publishes and reports rollouts."""
 
 import logging
+from typing import Annotated
 from typing import TypeVar
 
 import msgspec
 
 from arbutusstall import _effects
+from arbutusstall import _values
 from arbutusstall import errors
 from arbutusstall._log import source as sources
 from arbutusstall._tables import agreed
@@ -28,34 +30,36 @@
 }
 _STATES_BY_NAME = {name: state for state, name in _NAMES_BY_STATE.items()}
 
+_Path = Annotated[str, msgspec.Meta(pattern=r"\A[\x21-\x7e]*\Z")]
+
 T = TypeVar("T")
 
 
 class _SplitPart(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
-    weight: float
+    service: _values.Name
+    weight: _values.Weight
 
 
 class _Route(msgspec.Struct, frozen=True, rename="camel"):
-    host: str
+    host: _values.Name
     path_prefix: str
     route_type: str
     timeout: str
     target_latency: str = "0ms"
-    priority: int = 0
-    service: str = ""
+    priority: _values.Count = 0
+    service: _values.Name = ""
     traffic_split: tuple[_SplitPart, ...] = ()
-    max_attempts: int = 0
+    max_attempts: _values.Count = 0
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
-    max_connections: int = 0
-    health_path: str = ""
+    max_connections: _values.Count = 0
+    health_path: _Path = ""
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
+    max_header_bytes: _values.Number = 16_384
+    max_body_bytes: _values.Number = 67_108_864
     header_timeout: str = "3000ms"
     idle_timeout: str = "15000ms"
 
@@ -63,20 +67,20 @@
 class _Configuration(msgspec.Struct, frozen=True, rename="camel"):
     version: int
     routes: dict[str, _Route] = {}
-    services: dict[str, _Service] = {}
+    services: dict[_values.Name, _Service] = {}
     limits: _Limits = _Limits()
 
 
 class _Order(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
-    target_version: str
+    service: _values.Name
+    target_version: _values.Name
     # Time from the order until all traffic is to be on the version.
     duration: str
 
 
 class _Status(msgspec.Struct, frozen=True, rename="camel"):
     state: str
-    target_version: str
+    target_version: _values.Name
 
 
 class OperatorSource:
@@ -144,8 +148,8 @@
                 continue
             try:
                 configuration = _decode(record, _Configuration)
-            except msgspec.MsgspecError as exc:
-                _log_skipped(record, str(exc))
+            except errors.WireError as exc:
+                _log_skipped(record, exc.reason)
                 continue
             found = configuration.services.get(service)
             return found.health_path if found is not None else ""
@@ -169,9 +173,9 @@
         statuses = {}
         for record in self._store.read_newest(_STATUS_TOPIC).records:
             try:
-                status = msgspec.json.decode(record.value, type=_Status)
-            except msgspec.MsgspecError as exc:
-                _log_skipped(record, str(exc))
+                status = _decode(record, _Status)
+            except errors.WireError as exc:
+                _log_skipped(record, exc.reason)
                 continue
             statuses[record.key] = status
         return statuses
@@ -187,7 +191,9 @@
             return _decode_configuration(record)
         if record.key.startswith(_ROLLOUT_PREFIX):
             return _decode_order(record, statuses.get(record.key))
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except errors.WireError as exc:
+        _log_skipped(record, exc.reason)
+    except ValueError as exc:
         _log_skipped(record, str(exc))
     return None
 
@@ -204,7 +210,7 @@
 
 
 def _decode(record: stores.KeyedRecord, kind: type[T]) -> T:
-    return msgspec.json.decode(record.value, type=kind)
+    return _values.decode_json(record.value, kind, step="operator.decode")
 
 
 def _decode_configuration(record: stores.KeyedRecord) -> _effects.Published:
@@ -256,7 +262,9 @@
 def _decode_order(
     record: stores.KeyedRecord, status: _Status | None
 ) -> _effects.Ordered:
-    order = msgspec.json.decode(record.value, type=_Order)
+    order = _decode(record, _Order)
+    if record.key != f"{_ROLLOUT_PREFIX}{order.service}":
+        raise ValueError(f"order for service {order.service!r}")
     outcome = agreed.RolloutState.RUNNING
     if status is not None and status.target_version == order.target_version:
         outcome = _STATES_BY_NAME.get(status.state, outcome)
--- a/src/arbutusstall/platform/roster.py
+++ b/src/arbutusstall/platform/roster.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from arbutusstall import _values
+from arbutusstall import errors
 from arbutusstall._log import roster
 from arbutusstall.platform import store as stores
 
@@ -63,13 +65,15 @@
     entries = []
     for record in records:
         try:
-            entry = msgspec.json.decode(record.value, type=roster.RosterEntry)
-        except msgspec.MsgspecError as exc:
+            entry = _values.decode_json(
+                record.value, roster.RosterEntry, step="roster.decode"
+            )
+        except errors.WireError as exc:
             LOG.warning(
                 {
                     "event": "record-skipped",
                     "key": record.key,
-                    "reason": str(exc),
+                    "reason": exc.reason,
                 }
             )
             continue
--- a/src/arbutusstall/platform/store.py
+++ b/src/arbutusstall/platform/store.py
@@ -3,22 +3,31 @@
 import base64
 from collections import abc
 import dataclasses
+import logging
 import struct
+from typing import Annotated
 from typing import TypeVar
 import urllib.parse
 
 import msgspec
 
 from arbutusstall import _settings
+from arbutusstall import _values
 from arbutusstall import errors
 from arbutusstall._shell import http
 
+LOG = logging.getLogger(__name__)
+
 _OK = 200
 _GONE = 410
 _TOO_MANY = 429
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
+# Configuration versions reserve 40 bits for an offset.
+_MAX_OFFSET = (1 << 40) - 1
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=_MAX_OFFSET)]
+
 T = TypeVar("T")
 
 
@@ -61,23 +70,23 @@
 
 
 class _Appended(msgspec.Struct, frozen=True, rename="camel"):
-    offset: int
+    offset: _Offset
 
 
 class _Gone(msgspec.Struct, frozen=True, rename="camel"):
-    first_offset: int
+    first_offset: _Offset
 
 
 class _Item(msgspec.Struct, frozen=True, rename="camel"):
     key: str
     value: str
-    offset: int
+    offset: _Offset
 
 
 class _Page(msgspec.Struct, frozen=True, rename="camel"):
     items: tuple[_Item, ...]
     more: bool
-    end_offset: int
+    end_offset: _Offset
 
 
 class Store:
@@ -152,10 +161,14 @@
             # The topic may change between two pages. Reading on from
             # the end offset of the first page misses no such change.
             end = end or page.end_offset
-            collected += [_keyed_record(item) for item in page.items]
+            found = [_keyed_record(item) for item in page.items]
+            collected += [record for record in found if record is not None]
             if not page.more or not page.items:
                 break
-            query["after"] = page.items[-1].key
+            last_key = page.items[-1].key
+            if last_key == query.get("after"):
+                raise self._unavailable("/log-newest", "a page repeats")
+            query["after"] = last_key
         return NewestRecords(records=tuple(collected), next_offset=end)
 
     def _append(
@@ -173,6 +186,10 @@
                 f"its header has {_READ_HEADER.size}",
             )
         next_offset, first_kept = _READ_HEADER.unpack_from(data)
+        if not first_kept <= next_offset <= _MAX_OFFSET:
+            raise self._unavailable(
+                "/log-read", f"offsets {first_kept} to {next_offset}"
+            )
         values = []
         start = _READ_HEADER.size
         while start + _LENGTH.size <= len(data):
@@ -230,9 +247,9 @@
 
     def _decode(self, data: bytes, kind: type[T]) -> T:
         try:
-            return msgspec.json.decode(data, type=kind)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            raise self._unavailable("store.decode", str(exc)) from exc
+            return _values.decode_json(data, kind, step="store.decode")
+        except errors.WireError as exc:
+            raise self._unavailable(exc.step, exc.reason) from exc
 
     def _unavailable(self, step: str, reason: str) -> errors.LogUnavailable:
         return errors.LogUnavailable(
@@ -255,9 +272,12 @@
     return KeyedRecord(key=key, value=data[end:], offset=offset)
 
 
-def _keyed_record(item: _Item) -> KeyedRecord:
-    return KeyedRecord(
-        key=item.key,
-        value=base64.b64decode(item.value),
-        offset=item.offset,
-    )
+def _keyed_record(item: _Item) -> KeyedRecord | None:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError as exc:
+        LOG.warning(
+            {"event": "record-skipped", "key": item.key, "reason": str(exc)}
+        )
+        return None
+    return KeyedRecord(key=item.key, value=value, offset=item.offset)
