--- a/features/steps/odd_values_steps.py
+++ b/features/steps/odd_values_steps.py
@@ -3,13 +3,13 @@
 import ast
 import copy
 import json
-import logging
 import random
 import struct
 
 import behave
 import hypothesis
 from hypothesis import strategies
+import log_lines
 import msgspec
 import odd_readers
 import platform_mesh
@@ -100,15 +100,6 @@
     assert deltas.digest(snapshot) == xxhash.xxh3_128_hexdigest(plain)
 
 
-class _LineCollector(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        self.lines.append(record.msg)
-
-
 _DOCUMENTS = {
     "roster entry": odd_readers.ROSTER_ENTRY,
     "heartbeat": odd_readers.HEARTBEAT,
@@ -205,10 +196,7 @@
 @behave.when("both are read")
 def read_both(context):
     """Read them, and keep the log lines."""
-    context.lines = _LineCollector()
-    log = logging.getLogger("arbutusstall")
-    log.addHandler(context.lines)
-    context.add_cleanup(log.removeHandler, context.lines)
+    context.lines = log_lines.collect(context)
     if context.odd_instance:
         odd = odd_readers.read_heartbeats(
             context.odd, instance=context.odd_instance
--- a/features/steps/unexpected_errors_steps.py
+++ b/features/steps/unexpected_errors_steps.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
-import logging
+import functools
 import struct
 import time
 from unittest import mock
 
 import behave
 import fleet
+import log_lines
 
 from arbutusstall import _clock
 from arbutusstall import _core
@@ -55,15 +56,6 @@
         return self._result
 
 
-class _LineCollector(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        self.lines.append(record.msg)
-
-
 def _core_with(step, fails):
     core = mock.Mock()
     core.start.return_value = []
@@ -74,22 +66,8 @@
     return core
 
 
-async def _run_control_loop(step, fails):
-    loop = control.ControlLoop(
-        _core_with(step, fails), _clock.SystemClock(), _TICK_S
-    )
-    loop.on(_effects.Emit, fails if step == "an effect" else mock.Mock())
-    loop.start()
-    loop.put(_EVENT)
-    loop.put(_EVENT)
-    await _poll(lambda: fails.later_calls)
-    loop.stop()
-
-
-async def _run_control_thread(step, fails):
-    loop = threaded_control.ControlLoop(
-        _core_with(step, fails), _clock.SystemClock(), _TICK_S
-    )
+async def _run_control(kind, step, fails):
+    loop = kind(_core_with(step, fails), _clock.SystemClock(), _TICK_S)
     loop.on(_effects.Emit, fails if step == "an effect" else mock.Mock())
     loop.start()
     loop.put(_EVENT)
@@ -171,8 +149,10 @@
 
 
 _RUNS = {
-    "the control loop": _run_control_loop,
-    "the control thread": _run_control_thread,
+    "the control loop": functools.partial(_run_control, control.ControlLoop),
+    "the control thread": functools.partial(
+        _run_control, threaded_control.ControlLoop
+    ),
     "a periodic callback": _run_periodic,
     "a background task": _run_task,
     "the source's reader": _run_source_reader,
@@ -204,10 +184,7 @@
 @behave.given("{part} in which {step} fails once")
 def fail_once(context, part, step):
     """Run the part until the step has succeeded, or for 3 seconds."""
-    context.lines = _LineCollector()
-    log = logging.getLogger("arbutusstall")
-    log.addHandler(context.lines)
-    context.add_cleanup(log.removeHandler, context.lines)
+    context.lines = log_lines.collect(context)
     context.fails = _FailsOnce(result=[])
     asyncio.run(_RUNS[part](step, context.fails))
 
--- a/tests/odd_readers.py
+++ b/tests/odd_readers.py
@@ -9,6 +9,7 @@
 from unittest import mock
 import urllib.parse
 
+import calls
 import msgspec
 import platform_mesh
 
@@ -30,21 +31,7 @@
 from arbutusstall.platform import roster
 from arbutusstall.platform import store as stores
 
-_CALL = messages.CallRequest(
-    call_id="c",
-    request_id="r",
-    incarnation=1,
-    sent_ms=1,
-    service="s",
-    version="v",
-    route="r",
-    method="GET",
-    path="/",
-    headers=(),
-    body=b"",
-    deadline_ms=1,
-    idempotent=True,
-)
+_CALL = calls.booking(method="GET", idempotent=True)
 _ENTRY = rosters.RosterEntry(
     member=members.Member(
         node="n0",
