Append reports of rollouts at a known offset

The operator could read 'running' for good of a rollout that had completed: a report without an answer took effect after the newer one, since it was appended without a condition.

Evidence: 'a late report of a rollout does not replace a newer one' failed before, with running as the newest record; the stand-in of the store can now process an append late.

Change: a report reads the end of the topic and appends at that offset only. It costs one more call for each report.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -56,6 +56,12 @@
     Then the worker reports the store's loss once and its return once
     And the configuration published during the outage arrives
 
+  Scenario: a late report of a rollout does not replace a newer one
+    # Pattern: a call to the store that got no answer takes effect later.
+    Given the platform's store in this process
+    When a report of a rollout gets no answer and the next one is stored
+    Then the newest report remains once the store has processed both
+
   Scenario: records that have expired are read anew
     Given the platform's store in this process
     When the operator's old records expire while a worker cannot read
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -28,6 +28,7 @@
 from arbutusstall._proxy import log_output
 from arbutusstall._proxy import source_worker
 from arbutusstall._shell import events
+from arbutusstall._tables import agreed
 from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
 from arbutusstall.platform import operator
@@ -36,6 +37,8 @@
 
 # Dropped lines are reported once a second.
 _DROP_REPORT_S = 1.3
+# Longer than the store's client waits.
+_LATE_S = 1.0
 
 _HEADERS_BY_NAME = {
     "signature": ("X-Response-Signature", "s"),
@@ -285,6 +288,7 @@
     server = store_standin.Server(ports.take())
     context.add_cleanup(server.stop)
     context.operator_store = server.store
+    context.store_url = f"http://{server.address}"
     context.events = []
     settings = _settings.LogSettings(
         url=f"http://{server.address}", poll_s=0.1, retry_cap_s=0.1
@@ -341,6 +345,37 @@
     assert _versions(context)[-1] == 5
 
 
+@behave.when("a report of a rollout gets no answer and the next one is stored")
+def report_late(context):
+    """Let the store process the first report after the second."""
+    settings = _settings.LogSettings(
+        url=context.store_url, request_timeout_s=_LATE_S / 2
+    )
+    source = operator.OperatorSource(stores.Store(settings))
+    running, done = (
+        _effects.ReportRollout(service="kvoty", version="v2", state=state)
+        for state in (agreed.RolloutState.RUNNING, agreed.RolloutState.DONE)
+    )
+    store = context.operator_store
+    store.faults = store_standin.Faults(append_delay_s=_LATE_S)
+    try:
+        source.report(running)
+    except errors.LogUnavailable:
+        store.faults = store_standin.Faults()
+    else:
+        raise AssertionError("the first report was confirmed")
+    source.report(done)
+
+
+@behave.then("the newest report remains once the store has processed both")
+def newest_report_remains(context):
+    """Wait until the first report has been processed as well."""
+    time.sleep(_LATE_S)
+    newest = context.operator_store.newest("keyed.status")
+    _, value = newest["rollout/kvoty"]
+    assert msgspec.json.decode(value)["state"] == "completed", value
+
+
 @behave.when("the operator's old records expire while a worker cannot read")
 def records_expire(context):
     """Let the offset expire that the worker asks for next."""
--- a/src/arbutusstall/platform/operator.py
+++ b/src/arbutusstall/platform/operator.py
@@ -158,16 +158,20 @@
     def report(self, report: _effects.ReportRollout) -> None:
         """Store the state of a rollout for the operator.
 
+        The state is stored only if the topic is as it was read before. So
+        a call without an answer cannot take effect after a newer report.
+
         Raises:
-            LogUnavailable: The store did not answer; the state may have
-                been stored nevertheless.
+            LogUnavailable: The store did not answer, or the topic has
+                changed; the state may have been stored nevertheless.
         """
         status = _Status(
             state=_NAMES_BY_STATE[report.state], target_version=report.version
         )
         key = f"{_ROLLOUT_PREFIX}{report.service}"
         value = stores.encode_keyed(key, msgspec.json.encode(status))
-        self._store.append(_STATUS_TOPIC, value)
+        end = self._store.read_newest(_STATUS_TOPIC).next_offset
+        self._store.append_at(_STATUS_TOPIC, [value], end)
 
     def _read_statuses(self) -> dict[str, _Status]:
         statuses = {}
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -25,12 +25,14 @@
     Attributes:
         out: Answer every request with 503.
         delay_s: Time before a request is processed, in seconds.
+        append_delay_s: Time before an append is processed, in seconds.
         lose_answers: Store appended records but answer 503.
         expired_to: Offset by topic; the records before it have expired.
     """
 
     out: bool = False
     delay_s: float = 0.0
+    append_delay_s: float = 0.0
     lose_answers: bool = False
     expired_to: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -109,6 +111,7 @@
 
     def _append(self, request):
         data = request.get_data()
+        time.sleep(self._store.faults.append_delay_s)
         values = []
         start = 0
         while start < len(data):
