Refuse heartbeats of another service

A heartbeat of another writer, with a service that isn't the machine's, replaced the node's target; with a later start time it also made the real target's heartbeats outdated for as long as a silence lasts.

--- a/features/odd_values.feature
+++ b/features/odd_values.feature
@@ -38,6 +38,7 @@
       | record    | what                         |
       | heartbeat | nesting                      |
       | heartbeat | bytes that are no text       |
+      | heartbeat | info.service = "vazeni"      |
       | heartbeat | info.slots = -1              |
       | heartbeat | info.slots = 0               |
       | heartbeat | info.slots = 2**64           |
--- a/src/arbutusstall/platform/endpoints.py
+++ b/src/arbutusstall/platform/endpoints.py
@@ -77,10 +77,16 @@
 
 
 class HeartbeatHandler:
-    """Receives heartbeats of the target and the notice that it leaves."""
+    """Receives heartbeats of the target and the notice that it leaves.
 
-    def __init__(self, node: Node) -> None:
+    Args:
+        service: Service of the target; a heartbeat for another service is
+            refused, since it comes from another writer.
+    """
+
+    def __init__(self, node: Node, service: str) -> None:
         self._node = node
+        self._service = service
         self._tasks = background.Tasks()
 
     def handle(self, exchange: http_server.Exchange) -> None:
@@ -123,6 +129,7 @@
     async def _announce(self, instance: str, body: bytes) -> int:
         try:
             announcement = _decode(instance, body)
+            self._check_service(announcement)
         except errors.WireError as exc:
             _log_refused(instance, exc.reason)
             return _BAD_REQUEST
@@ -132,6 +139,10 @@
         await self._node.announce(announcement)
         return _OK
 
+    def _check_service(self, announcement: announcements.Announcement) -> None:
+        if announcement.service != self._service:
+            raise ValueError(f"service {announcement.service!r}")
+
 
 def _log_refused(instance: str, reason: str) -> None:
     LOG.warning(
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -63,7 +63,8 @@
         ),
     )
     heartbeat_server = http_server.HttpServer(
-        settings.control_address, endpoints.HeartbeatHandler(node)
+        settings.control_address,
+        endpoints.HeartbeatHandler(node, settings.service),
     )
     ready_server = http_server.HttpServer(
         settings.ready_address, endpoints.ReadinessHandler(node)
--- a/tests/odd_readers.py
+++ b/tests/odd_readers.py
@@ -126,7 +126,7 @@
     statuses = []
 
     async def answer_all():
-        handler = endpoints.HeartbeatHandler(node)
+        handler = endpoints.HeartbeatHandler(node, "kvoty")
         path = urllib.parse.quote(instance, safe="")
         for body in bodies:
             exchange = mock.Mock()
