Test that a stopping node saves a departure

The change came with the confirmation of targets, without a test of its own. On the new scenario fails: the roster still has the target as serving when the node has ended. It passes now.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -94,6 +94,16 @@
       | takes 3 seconds             |
       | loses its answers           |
 
+  Scenario: a departure is saved while the node stops
+    # Guards against a node that gives up what it has acknowledged in an
+    # outage as soon as it gets SIGTERM.
+    Given nodes on the platform for kvoty and kvoty
+    And the operator publishes version 3 with routes to both services
+    When the store is out
+    And the first target reports that it drains
+    And its node is stopped and the store answers 0.5 seconds later
+    Then the roster has the departure when the node has ended
+
   Scenario: a target that lives is in use soon after a restart in an outage
     Given nodes on the platform for kvoty and kvoty
     And the operator publishes version 3 with routes to both services
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -371,6 +371,26 @@
     )
 
 
+@behave.when(
+    "its node is stopped and the store answers {seconds:g} seconds later"
+)
+def stop_in_outage(context, seconds):
+    """End the outage while the node stops."""
+    mesh = context.platform
+    with futures.ThreadPoolExecutor(max_workers=1) as pool:
+        ended = pool.submit(mesh.nodes_by_name["n0"].terminate)
+        time.sleep(seconds)
+        mesh.store.faults = store.Faults()
+        assert ended.result() == 0
+
+
+@behave.then("the roster has the departure when the node has ended")
+def departure_saved(context):
+    """Read the entry of the node; nobody else has written it yet."""
+    _, value = context.platform.store.newest(_ROSTER_TOPIC)["n0"]
+    assert msgspec.json.decode(value)["departed"], value
+
+
 @behave.when("its node stops")
 def stop_first_node(context):
     """Stop the node of the first target; its target is gone then."""
