--- a/features/steps/odd_values_steps.py
+++ b/features/steps/untrusted_values_steps.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies
 import log_lines
 import msgspec
-import odd_readers
 import platform_mesh
+import untrusted_readers
 import xxhash
 
 from arbutusstall import _effects
@@ -35,7 +35,7 @@
 _NESTING = b'{"a":' * 100_000
 _NO_TEXT = b"\xff\xfe{}"
 _ROSTER_TOPIC = "keyed.arbutusstall-roster"
-_ODD_VALUES = strategies.recursive(
+_ARBITRARY_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-(2**130), 2**130)
@@ -101,18 +101,19 @@
 
 
 _DOCUMENTS = {
-    "roster entry": odd_readers.ROSTER_ENTRY,
-    "heartbeat": odd_readers.HEARTBEAT,
-    "order": odd_readers.ORDER,
-    "configuration": odd_readers.CONFIGURATION,
-    "item": {"value": odd_readers.base64_text(b"good")},
-    "member row": odd_readers.MEMBER_ROW,
+    "roster entry": untrusted_readers.ROSTER_ENTRY,
+    "heartbeat": untrusted_readers.HEARTBEAT,
+    "order": untrusted_readers.ORDER,
+    "configuration": untrusted_readers.CONFIGURATION,
+    "item": {"value": untrusted_readers.base64_text(b"good")},
+    "member row": untrusted_readers.MEMBER_ROW,
 }
+_WORDS = {"true": True, "null": None}
 _OPERATOR_KEYS = {"order": "rollout/kvoty", "configuration": "config"}
 
 
 def _altered(document, what):
-    """Return the encoded document with one value replaced, or odd bytes."""
+    """Return the encoded document with one value replaced, or other bytes."""
     special = {
         "nesting": _NESTING,
         "bytes that are no text": _NO_TEXT,
@@ -131,84 +132,85 @@
 
 
 def _literal(text):
+    """Return the value that a row of a feature file names."""
+    if text in _WORDS:
+        return _WORDS[text]
     base, is_power, exponent = text.partition("**")
     if is_power and base.isdecimal():
         return int(base) ** int(exponent)
     # Feature files double the backslashes of an escape.
-    return (
-        {"true": True, "null": None}.get(text)
-        if text
-        in (
-            "true",
-            "null",
-        )
-        else ast.literal_eval(text.replace("\\\\", "\\"))
-    )
+    return ast.literal_eval(text.replace("\\\\", "\\"))
 
 
-def _read_items(good, odd):
-    """Let the store's client read a page with a good and an odd item."""
+def _read_items(good, invalid):
+    """Let the store's client read a page with a good and an invalid item."""
     items = [
         {"key": f"k{n}", "offset": n, **json.loads(text)}
-        for n, text in enumerate((good, odd))
+        for n, text in enumerate((good, invalid))
     ]
     body = {"items": items, "more": False, "endOffset": 2}
-    accepted = odd_readers.read_store(200, json.dumps(body).encode())
+    accepted = untrusted_readers.read_store(200, json.dumps(body).encode())
     return accepted[-1].records
 
 
-def _read_rows(good, odd):
-    """Decode a message with a good and an odd row."""
-    rows = [json.loads(good), json.loads(odd)]
+def _read_rows(good, invalid):
+    """Decode a message with a good and an invalid row."""
+    rows = [json.loads(good), json.loads(invalid)]
     data = msgspec.msgpack.encode(("members", {"rows": rows}))
     return messages.decode(data).rows
 
 
-def _read_pair(record, good, odd):
+def _read_pair(record, good, invalid):
     match record:
         case "roster entry":
-            return odd_readers.read_roster(odd, good)
+            return untrusted_readers.read_roster(invalid, good)
         case "order" | "configuration":
-            return odd_readers.read_operator(_OPERATOR_KEYS[record], odd, good)
+            return untrusted_readers.read_operator(
+                _OPERATOR_KEYS[record], invalid, good
+            )
         case "item":
-            return _read_items(good, odd)
+            return _read_items(good, invalid)
         case "member row":
-            return _read_rows(good, odd)
+            return _read_rows(good, invalid)
         case "heartbeat":
-            return odd_readers.read_heartbeats(odd, good)
+            return untrusted_readers.read_heartbeats(invalid, good)
     raise AssertionError(record)
 
 
 @behave.given("a good {record} and a copy of it with {what}")
-def good_and_odd(context, record, what):
+def good_and_invalid(context, record, what):
     """Encode both."""
     context.record = record
-    context.odd_instance = ""
+    context.invalid_instance = ""
     document = _DOCUMENTS[record]
     context.good = json.dumps(document).encode()
     if what.startswith("instance = ") and record == "heartbeat":
-        context.odd_instance = _literal(what.removeprefix("instance = "))
-        context.odd = context.good
+        context.invalid_instance = _literal(what.removeprefix("instance = "))
+        context.invalid = context.good
     else:
-        context.odd = _altered(document, what)
+        context.invalid = _altered(document, what)
 
 
 @behave.when("both are read")
 def read_both(context):
     """Read them, and keep the log lines."""
     context.lines = log_lines.collect(context)
-    if context.odd_instance:
-        odd = odd_readers.read_heartbeats(
-            context.odd, instance=context.odd_instance
+    if context.invalid_instance:
+        invalid = untrusted_readers.read_heartbeats(
+            context.invalid, instance=context.invalid_instance
+        )
+        context.accepted = invalid + untrusted_readers.read_heartbeats(
+            context.good
         )
-        context.accepted = odd + odd_readers.read_heartbeats(context.good)
         return
-    context.accepted = _read_pair(context.record, context.good, context.odd)
+    context.accepted = _read_pair(
+        context.record, context.good, context.invalid
+    )
 
 
-@behave.then("only the good one is used, and one line names the odd one")
+@behave.then("only the good one is used, and one line names the invalid one")
 def only_good_used(context):
-    """Check what was accepted; each read of the odd one logs one line."""
+    """Check what was accepted; each read of the invalid one logs one line."""
     assert len(context.accepted) == 1, context.accepted
     events = {line["event"] for line in context.lines.lines}
     assert len(events) == 1, context.lines.lines
@@ -220,7 +222,7 @@
 
 
 @behave.given("a store that answers with {what}")
-def odd_store(context, what):
+def invalid_answers(context, what):
     """Create its answers to both kinds of reads."""
     page = {"items": [], "more": False, "endOffset": 2}
     item = {"key": "k", "value": "", "offset": 1}
@@ -240,8 +242,8 @@
 @behave.when("it is asked for all records and for new ones")
 def ask_store(context):
     """Read both answers."""
-    context.accepted = odd_readers.read_store(200, context.page)
-    context.accepted += odd_readers.read_store(200, context.records)
+    context.accepted = untrusted_readers.read_store(200, context.page)
+    context.accepted += untrusted_readers.read_store(200, context.records)
 
 
 @behave.then("the store is unavailable each time")
@@ -307,7 +309,7 @@
         place = altered
         for name in path[:-1]:
             place = place[name]
-        place[path[-1]] = draw(_ODD_VALUES)
+        place[path[-1]] = draw(_ARBITRARY_VALUES)
     return json.dumps(altered).encode()
 
 
@@ -316,7 +318,7 @@
     return data[: rng.randrange(len(data) + 1)]
 
 
-def _odd_texts(document):
+def _arbitrary_texts(document):
     altered = _altered_documents(document)
     return (
         altered
@@ -327,7 +329,7 @@
 
 
 def _read_page(data):
-    return odd_readers.read_store(200, data)
+    return untrusted_readers.read_store(200, data)
 
 
 def _record_envelope():
@@ -356,31 +358,34 @@
 
 _READERS = {
     "the roster's reader": (
-        odd_readers.read_roster,
-        _odd_texts(odd_readers.ROSTER_ENTRY),
+        untrusted_readers.read_roster,
+        _arbitrary_texts(untrusted_readers.ROSTER_ENTRY),
     ),
     "the heartbeats' reader": (
-        odd_readers.read_heartbeats,
-        _odd_texts(odd_readers.HEARTBEAT),
+        untrusted_readers.read_heartbeats,
+        _arbitrary_texts(untrusted_readers.HEARTBEAT),
     ),
     "the operator's reader": (
         lambda data: (
-            odd_readers.read_operator("config", data)
-            + odd_readers.read_operator("rollout/kvoty", data)
+            untrusted_readers.read_operator("config", data)
+            + untrusted_readers.read_operator("rollout/kvoty", data)
         ),
-        _odd_texts(odd_readers.CONFIGURATION) | _odd_texts(odd_readers.ORDER),
+        _arbitrary_texts(untrusted_readers.CONFIGURATION)
+        | _arbitrary_texts(untrusted_readers.ORDER),
     ),
     "the reader of log records": (
-        odd_readers.read_record,
-        _odd_texts(_record_envelope()),
+        untrusted_readers.read_record,
+        _arbitrary_texts(_record_envelope()),
     ),
     "the reader of messages": (
-        odd_readers.read_message,
-        _odd_texts(odd_readers.MEMBER_ROW).map(_repack),
+        untrusted_readers.read_message,
+        _arbitrary_texts(untrusted_readers.MEMBER_ROW).map(_repack),
     ),
     "the store's client": (
         _read_page,
-        _odd_texts({"items": [], "more": False, "endOffset": 2, "offset": 1}),
+        _arbitrary_texts(
+            {"items": [], "more": False, "endOffset": 2, "offset": 1}
+        ),
     ),
 }
 
@@ -396,15 +401,15 @@
     @hypothesis.given(texts)
     def check(data):
         for item in read(data):
-            odd_readers.check_sendable(item)
+            untrusted_readers.check_sendable(item)
 
     check()
 
 
-@behave.given("odd entries in the roster")
-def odd_roster(context):
+@behave.given("invalid entries in the roster")
+def invalid_roster(context):
     """Have the store of the nodes hold some before they start."""
-    document = odd_readers.ROSTER_ENTRY
+    document = untrusted_readers.ROSTER_ENTRY
     values = [
         _altered(document, "nesting"),
         _altered(document, "member.slots = 2**70"),
--- a/features/odd_values.feature
+++ b/features/untrusted_values.feature
@@ -4,12 +4,12 @@
     Then each message that names a version is decoded as it was encoded
     And the digest of a configuration with a small version is unchanged
 
-  Scenario Outline: an odd <record> costs only itself: <what>
-    # Guards against the report of odd entries: one of them ended the
+  Scenario Outline: an invalid <record> costs only itself: <what>
+    # Guards against the report of invalid entries: one of them ended the
     # readers, or went on into tables, messages and sockets.
     Given a good <record> and a copy of it with <what>
     When both are read
-    Then only the good one is used, and one line names the odd one
+    Then only the good one is used, and one line names the invalid one
 
     Examples: of the roster
       | record       | what                              |
@@ -30,7 +30,7 @@
       | roster entry | member.relay = "10.0.0.1:-1"      |
       | roster entry | member.target = "a b:80"          |
       | roster entry | member.service = "a\\nb"          |
-      | roster entry | member.state = "odd"              |
+      | roster entry | member.state = "unknown"              |
       | roster entry | born_ms = 2**64                   |
       | roster entry | instance = ""                     |
 
@@ -47,7 +47,7 @@
       | heartbeat | status.sequence = -1         |
       | heartbeat | status.coldRemaining = "9e9s" |
       | heartbeat | status.coldRemaining = "99999999999s" |
-      | heartbeat | status.state = "odd"         |
+      | heartbeat | status.state = "unknown"         |
       | heartbeat | born = 2**70                 |
       | heartbeat | born = -1                    |
       | heartbeat | address = "10.0.0.1:65536"   |
@@ -115,10 +115,10 @@
       | the reader of messages     |
       | the store's client         |
 
-  Scenario: endpoints are found beside odd entries of the roster
-    # Guards against the report of odd entries: a deeply nested one ended
+  Scenario: endpoints are found beside invalid entries of the roster
+    # Guards against the report of invalid entries: a deeply nested one ended
     # the reader, and endpoints that were added later were never used.
-    Given odd entries in the roster
+    Given invalid entries in the roster
     And nodes on the platform for kvoty and vazeni
     And the operator publishes version 3 with routes to both services
     When a machine for vazeni is added
