Guard loops without a generator

The guard around each message, event and effect was a context manager made from a generator: 2.0 us a block on this machine beside other runs, and a call takes several. As a class it takes 0.7 us. Behaviour is unchanged; unexpected_errors.feature passes, 20 of 20.

--- a/src/arbutusstall/_proxy/background.py
+++ b/src/arbutusstall/_proxy/background.py
@@ -28,7 +28,7 @@
 
     def start(self) -> None:
         """Call the action now and then at each interval."""
-        with failures.logged(self._name):
+        with failures.Logged(self._name):
             self._action()
         self.start_later()
 
--- a/src/arbutusstall/_proxy/control.py
+++ b/src/arbutusstall/_proxy/control.py
@@ -66,7 +66,7 @@
         self._handle_scheduled = False
         while self._events and not self._stopped:
             event = self._events.popleft()
-            with failures.logged(type(event).__name__):
+            with failures.Logged(type(event).__name__):
                 self._carry_out(self._core.handle(event, self._clock.now()))
 
     def _tick(self) -> None:
@@ -76,11 +76,11 @@
         if self._stopped:
             return
         now = self._clock.now()
-        self._carry_out(self._core.tick(now, failures.logged))
+        self._carry_out(self._core.tick(now, failures.Logged))
 
     def _carry_out(self, effects: abc.Iterable[_effects.Effect]) -> None:
         for effect in effects:
             executor = self._executors.get(type(effect))
             if executor is not None:
-                with failures.logged(type(effect).__name__):
+                with failures.Logged(type(effect).__name__):
                     executor(effect)
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -121,7 +121,7 @@
             except errors.WireError as exc:
                 self._fail(exc.reason)
                 return
-            with failures.logged(type(message).__name__):
+            with failures.Logged(type(message).__name__):
                 self.owner.on_message(self, message)
         del buffer[:start]
 
--- a/src/arbutusstall/_shell/control.py
+++ b/src/arbutusstall/_shell/control.py
@@ -60,8 +60,8 @@
             self._handle_until(next_tick_s)
             now = self._clock.now()
             if now.mono_s >= next_tick_s:
-                with failures.logged("tick"):
-                    self._carry_out(self._core.tick(now, failures.logged))
+                with failures.Logged("tick"):
+                    self._carry_out(self._core.tick(now, failures.Logged))
                 next_tick_s = now.mono_s + self._tick_s
 
     def _handle_until(self, end_s: float) -> None:
@@ -73,12 +73,12 @@
                 event = self._events.get(timeout=left_s)
             except queue.Empty:
                 return
-            with failures.logged(type(event).__name__):
+            with failures.Logged(type(event).__name__):
                 self._carry_out(self._core.handle(event, self._clock.now()))
 
     def _carry_out(self, effects: abc.Iterable[_effects.Effect]) -> None:
         for effect in effects:
             executor = self._executors.get(type(effect))
             if executor is not None:
-                with failures.logged(type(effect).__name__):
+                with failures.Logged(type(effect).__name__):
                     executor(effect)
--- a/src/arbutusstall/_shell/failures.py
+++ b/src/arbutusstall/_shell/failures.py
@@ -1,26 +1,44 @@
 """Logs unexpected exceptions where one of them must not end a loop."""
 
-from collections import abc
 import contextlib
 import logging
 import traceback
+import types
 
 from arbutusstall import errors
 
 LOG = logging.getLogger(__name__)
 
 
-@contextlib.contextmanager
-def logged(step: str) -> abc.Iterator[None]:
-    """Log an exception that is raised inside, and end the block.
+class Logged(contextlib.AbstractContextManager[None]):
+    """Logs an exception that is raised inside, and ends the block.
+
+    It guards each message of a call, so it is no generator, which would
+    take several times as long.
 
     Args:
         step: What failed, for the log line.
     """
-    try:
-        yield
-    except Exception as exc:
-        log(step, exc)
+
+    __slots__ = ("_step",)
+
+    def __init__(self, step: str) -> None:
+        self._step = step
+
+    def __enter__(self) -> None:
+        """Begin the block."""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> bool:
+        """Log an exception, unless it ends the process."""
+        if not isinstance(exc, Exception):
+            return False
+        log(self._step, exc)
+        return True
 
 
 def describe(exc: BaseException) -> str:
--- a/src/arbutusstall/_shell/outcome_counter.py
+++ b/src/arbutusstall/_shell/outcome_counter.py
@@ -106,6 +106,6 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(_FLUSH_INTERVAL_S):
-            with failures.logged("outcome counts"):
+            with failures.Logged("outcome counts"):
                 self.flush()
         self.flush()
--- a/src/arbutusstall/platform/endpoints.py
+++ b/src/arbutusstall/platform/endpoints.py
@@ -97,7 +97,7 @@
         request = exchange.request
         path = request.target.partition("?")[0]
         status = _UNAVAILABLE
-        with failures.logged("heartbeat"):
+        with failures.Logged("heartbeat"):
             status = await self._process(request, path)
         body = b"{}" if status == _OK else b""
         exchange.answer(
