Show that a first return from a copy is missed

Cause: the era 0 in the store's answers counts as no era, so a store that returns from a copy for the first time, from era 0 to 1, isn't noticed.

--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -108,7 +108,7 @@
     """The platform's store: topics of records, some of them keyed.
 
     Attributes:
-        era: Value of Store-Era; 0 leaves the header out.
+        era: Value of Store-Era; None leaves the header out.
         refuses: Takes the name of the door, the path and the topic of a
             call, and returns whether the store answers it with 503.
         last_writer: Name of the door of the newest append to the system's
@@ -117,7 +117,7 @@
 
     def __init__(self) -> None:
         self.topics: dict[str, list[bytes]] = {}
-        self.era = 0
+        self.era: int | None = None
         self.refuses = lambda door, path, topic: False
         self.last_writer = ""
 
@@ -148,7 +148,9 @@
         try:
             while request := await read_message(reader):
                 status, body = await self._answer(door, request)
-                headers = [("Store-Era", self.era)] if self.era else []
+                headers = []
+                if self.era is not None:
+                    headers = [("Store-Era", str(self.era))]
                 writer.write(response(status, body, tuple(headers)))
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
