Show where clients without limits find none

The bounds are those of the scenarios before, the same crowds of 20 and 400: 100 MB, 300 descriptors, and one ordinary request.

--- a/features/steps/client_limits_steps.py
+++ b/features/steps/client_limits_steps.py
@@ -2,108 +2,28 @@
 
 import contextlib
 import http.client
-import itertools
-import pathlib
+import signal
 import socket
-import threading
 import time
 from unittest import mock
 
 import behave
+import crowds
+import frame_crowds
 import platform_mesh
 from standins import endpoint
 
 from arbutusstall import errors
 
-_CROWD = 20
-_MANY_CONNECTIONS = 400
-_CROWD_S = 3.0
-_SAMPLE_INTERVAL_S = 0.05
 _HANG_GUARD_S = 20.0
+_LONG_CROWD_S = 60.0
+_SETTLE_S = 1.0
+_CHANGE_COUNT = 2
 _BLOCK = 64 * 1024
-_MAX_HEAD_BYTES = 16_384
-_LINE = b"a:b\r\n"
 _SMALL_LIMITS = "maxFds = 300\nmemoryMb = 100"
-_IDS = itertools.count()
-_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
-
-
-def _head(method=b"GET", path=b"/x/1"):
-    return (
-        b"%s %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: crowd-%d\r\n"
-        % (method, path, next(_IDS))
-    )
-
-
-def _legal_head(method=b"GET", path=b"/x/1"):
-    """Return a head of at most 16 KB with as many lines as fit."""
-    head = _head(method, path)
-    count = (_MAX_HEAD_BYTES - len(head) - 2) // len(_LINE)
-    return head + _LINE * count + b"\r\n"
-
-
-def _repeat(first, block):
-    """Return a function that sends a start and then a block without end."""
-
-    def send(sock, end_s):
-        sock.sendall(first())
-        while time.monotonic() < end_s:
-            sock.sendall(block)
-
-    return send
-
-
-def _send_legal_heads(sock, end_s):
-    while time.monotonic() < end_s:
-        sock.sendall(b"".join(_legal_head() for _ in range(4)))
-
-
-def _send_abandoned_bookings(sock, _end_s):
-    head = _legal_head(b"POST", b"/book/1")
-    sock.sendall(head[:-2] + b"Content-Length: 0\r\n\r\n")
-
-
-def _send_large_heartbeats(sock, end_s):
-    head = b"PUT /instances/i-n0 HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n"
-    sock.sendall(head)
-    while time.monotonic() < end_s:
-        sock.sendall(b"x" * 1_000_000 + head)
-
-
-def _hold_part_of_head(sock, _end_s):
-    sock.sendall(_head() + _LINE * 2_000)
-    sock.recv(1)
-
-
-def _hold_nothing(sock, _end_s):
-    sock.recv(1)
-
-
 _SENDERS_BY_KIND = {
-    "legal heads of short lines": _send_legal_heads,
-    "bookings that nobody waits for": _send_abandoned_bookings,
-    "lines with odd names and no values": _repeat(
-        _head, b"!:\r\n~:\r\n" * (_BLOCK // 8)
-    ),
-    "heads over the limit": _repeat(_head, _LINE * (_BLOCK // len(_LINE))),
-    "a header value without end": _repeat(
-        lambda: _head() + b"X-Long: ", b"x" * _BLOCK
-    ),
-    "a target without end": _repeat(lambda: b"GET /x/", b"x" * _BLOCK),
-    "empty lines without end": _repeat(lambda: b"", b"\r\n" * (_BLOCK // 2)),
-    "trailers without end": _repeat(
-        lambda: _head(b"POST") + _CHUNKED + b"0\r\n",
-        _LINE * (_BLOCK // len(_LINE)),
-    ),
-    "chunk extensions without end": _repeat(
-        lambda: _head(b"POST") + _CHUNKED + b"1;", b"x" * _BLOCK
-    ),
-    "tiny requests without end": _repeat(
-        lambda: b"", b"GET /y HTTP/1.1\r\n\r\n" * (_BLOCK // 19)
-    ),
-    "parts of heads on 400 connections": _hold_part_of_head,
-    "nothing on 400 connections": _hold_nothing,
-    "large heartbeats": _send_large_heartbeats,
+    **crowds.SENDERS_BY_KIND,
+    **frame_crowds.SENDERS_BY_KIND,
 }
 
 
@@ -113,44 +33,30 @@
         "heartbeats": node.control,
         "readiness": node.ready,
         "metrics": node.admin,
+        "other nodes": node.internal,
     }[name]
 
 
-def _run_client(address, send, end_s):
-    """Send on one connection after the other until ``end_s``."""
-    host, _, port = address.rpartition(":")
-    while time.monotonic() < end_s:
-        with (
-            contextlib.suppress(OSError),
-            socket.create_connection((host, int(port)), 0.5) as sock,
-        ):
-            sock.settimeout(max(0.01, end_s - time.monotonic()))
-            send(sock, end_s)
-        time.sleep(0.002)
-
-
-def _peak_mb(node):
-    text = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
-    fields = dict(line.split(":", 1) for line in text.splitlines())
-    return int(fields["VmHWM"].split()[0]) / 1_000
+def _crowd(context, kind, name, **options):
+    """Return a crowd at the first node; calls go to the second."""
+    nodes = context.platform.nodes_by_name
+    node = nodes["n1" if name == "other nodes" else "n0"]
+    return _crowd_at(node, kind, name, **options)
 
 
-def _descriptor_count(node):
-    return len(list(pathlib.Path(f"/proc/{node.process.pid}/fd").iterdir()))
+def _crowd_at(node, kind, name, **options):
+    address = _address(node, name)
+    return crowds.Crowd(address, kind, _SENDERS_BY_KIND[kind], **options)
 
 
-def _sample_descriptors(context, stopped):
-    while not stopped.wait(_SAMPLE_INTERVAL_S):
-        for node in context.platform.nodes_by_name.values():
-            with contextlib.suppress(OSError):
-                context.descriptors = max(
-                    context.descriptors, _descriptor_count(node)
-                )
+def _pids(context):
+    nodes = list(context.platform.nodes_by_name.values())
+    return [node.process.pid for node in nodes]
 
 
-def _is_answered(mesh, path):
+def _is_answered(mesh, path, **options):
     with contextlib.suppress(errors.ArbutusstallError):
-        return mesh.send("n0", path).status == 200
+        return mesh.send("n0", path, **options).status == 200
 
 
 @behave.given("two nodes on the platform with settings for a small machine")
@@ -168,7 +74,7 @@
         3, {"lookup": platform_mesh.route("kvoty"), "booking": booking}
     )
     config["limits"] = {
-        "maxHeaderBytes": _MAX_HEAD_BYTES,
+        "maxHeaderBytes": crowds.MAX_HEAD_BYTES,
         "maxBodyBytes": 1_000_000,
         "headerTimeout": "1000ms",
         "idleTimeout": "2000ms",
@@ -177,33 +83,114 @@
     platform_mesh.wait_until(lambda: _is_answered(mesh, "/x/0"), _HANG_GUARD_S)
 
 
+def _slow_answers(context):
+    delayed = endpoint.Behaviour(delay_s=0.3)
+    context.platform.endpoints_by_node["n1"].behaviour = delayed
+
+
 @behave.when("a crowd sends {kind} to the address for {name}")
 def send_crowd(context, kind, name):
     """Run the clients at the same time and sample the descriptors."""
-    mesh = context.platform
-    delayed = endpoint.Behaviour(delay_s=0.3)
-    mesh.endpoints_by_node["n1"].behaviour = delayed
-    context.descriptors = 0
-    stopped = threading.Event()
-    sampler = threading.Thread(
-        target=_sample_descriptors, args=(context, stopped)
-    )
-    sampler.start()
-    count = _MANY_CONNECTIONS if "connections" in kind else _CROWD
-    end_s = time.monotonic() + _CROWD_S
-    address = _address(mesh.nodes_by_name["n0"], name)
-    clients = [
-        threading.Thread(
-            target=_run_client, args=(address, _SENDERS_BY_KIND[kind], end_s)
+    _slow_answers(context)
+    with crowds.Watch(lambda: _pids(context)) as watch:
+        crowd = _crowd(context, kind, name)
+        crowd.start()
+        crowd.join()
+    context.descriptors = watch.descriptors
+
+
+@behave.when("a crowd that goes on sends {kind} to the address for {name}")
+def keep_sending(context, kind, name):
+    """Start the clients; the next step ends them."""
+    context.crowd = _crowd(context, kind, name, duration_s=_LONG_CROWD_S)
+    context.add_cleanup(context.crowd.stop)
+    context.watch = crowds.Watch(lambda: _pids(context))
+    context.watch.__enter__()
+    context.crowd.start()
+    time.sleep(_SETTLE_S)
+
+
+@behave.then("an ordinary request is answered meanwhile")
+def answered_meanwhile(context):
+    """Send requests until one is answered; then end the crowd."""
+    _answered_meanwhile(context)
+
+
+@behave.then("an ordinary upload of {size:d} KB is answered meanwhile")
+def upload_answered_meanwhile(context, size):
+    """Send uploads until one is answered; then end the crowd."""
+    _answered_meanwhile(context, method="POST", body=b"x" * size * 1_000)
+
+
+def _answered_meanwhile(context, **options):
+    try:
+        platform_mesh.wait_until(
+            lambda: _is_answered(context.platform, "/x/after", **options),
+            _HANG_GUARD_S,
+        )
+    finally:
+        context.crowd.stop()
+        context.watch.__exit__()
+        context.descriptors = context.watch.descriptors
+
+
+@behave.when("crowds send {kind} to {name} and {other_kind} to {other_name}")
+def send_two_crowds(context, kind, name, other_kind, other_name):
+    """Run both crowds at the same time."""
+    _slow_answers(context)
+    with crowds.Watch(lambda: _pids(context)) as watch:
+        both = (
+            _crowd(context, kind, name),
+            _crowd(context, other_kind, other_name),
         )
-        for _ in range(count)
-    ]
-    for client in clients:
-        client.start()
-    for client in clients:
-        client.join()
-    stopped.set()
-    sampler.join()
+        for crowd in both:
+            crowd.start()
+        for crowd in both:
+            crowd.join()
+    context.descriptors = watch.descriptors
+
+
+def _restart(context, node):
+    assert node.terminate() == 0
+    node.start()
+
+
+def _reload(context, node):
+    node.settings.write_text(node.settings.read_text() + "\n")
+    node.process.send_signal(signal.SIGHUP)
+
+
+def _drain(context, node):
+    target = context.platform.endpoints_by_node[node.name]
+    target.drain()
+    target.leave()
+    target.restart()
+
+
+_CHANGES_BY_NAME = {
+    "restarts": _restart,
+    "reloads": _reload,
+    "is drained": _drain,
+}
+
+
+@behave.when(
+    "the second node {change} while a crowd sends {kind}"
+    " to its address for {name}"
+)
+def change_beside_crowd(context, change, kind, name):
+    """Change the node once the crowd has begun, and again a second later."""
+    node = context.platform.nodes_by_name["n1"]
+    with crowds.Watch(lambda: _pids(context)) as watch:
+        crowd = _crowd_at(node, kind, name, duration_s=_LONG_CROWD_S)
+        context.add_cleanup(crowd.stop)
+        crowd.start()
+        for _ in range(_CHANGE_COUNT):
+            time.sleep(_SETTLE_S)
+            _CHANGES_BY_NAME[change](context, node)
+        time.sleep(_SETTLE_S)
+        crowd.stop()
+    context.descriptors = watch.descriptors
 
 
 @behave.then(
@@ -213,13 +200,12 @@
 def nodes_within_bounds(context, limit_mb, limit_descriptors):
     """Check the process, its peak memory and the sampled descriptors."""
     nodes = context.platform.nodes_by_name.values()
-    codes = [node.process.poll() for node in nodes]
-    assert codes == [None, None], codes
-    peaks_mb = [round(_peak_mb(node)) for node in nodes]
-    seen = f"{peaks_mb} MB, {context.descriptors} descriptors"
-    print(seen)
-    assert max(peaks_mb) <= limit_mb, seen
-    assert context.descriptors <= limit_descriptors, seen
+    crowds.check_bounds(
+        [node.process for node in nodes],
+        context.descriptors,
+        limit_mb,
+        limit_descriptors,
+    )
 
 
 @behave.then("an ordinary request is answered afterwards")
@@ -237,10 +223,10 @@
     address = context.platform.nodes_by_name["n0"].callers
     host, _, port = address.rpartition(":")
     with (
-        mock.patch.object(http.client, "_MAXHEADERS", _MAX_HEAD_BYTES),
+        mock.patch.object(http.client, "_MAXHEADERS", crowds.MAX_HEAD_BYTES),
         socket.create_connection((host, int(port)), _HANG_GUARD_S) as sock,
     ):
-        sock.sendall(_legal_head())
+        sock.sendall(crowds.legal_head())
         context.received = sock.recv(_BLOCK)
 
 
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -120,6 +120,7 @@
     ready: str
     control: str
     admin: str
+    internal: str
     settings: pathlib.Path
     output: pathlib.Path
     process: subprocess.Popen | None = None
@@ -231,7 +232,7 @@
         """
         addresses = {
             part: ports.take()
-            for part in ("outbound", "ready", "control", "metrics")
+            for part in ("outbound", "ready", "control", "metrics", "internal")
         }
         settings = self._directory / f"{name}.toml"
         settings.write_text(
@@ -239,7 +240,6 @@
                 node=name,
                 zone=zone,
                 service=service,
-                internal=ports.take(),
                 store=store or self.server.address,
                 bounds=self._bounds,
                 limits=limits,
@@ -253,6 +253,7 @@
             ready=f"127.0.0.1:{addresses['ready']}",
             control=f"127.0.0.1:{addresses['control']}",
             admin=f"127.0.0.1:{addresses['metrics']}",
+            internal=f"127.0.0.1:{addresses['internal']}",
             settings=settings,
             output=self._directory / f"{name}.log",
         )
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -15,6 +15,9 @@
 _HEARTBEAT_INTERVAL_S = 0.3
 _MISDIRECTED_STATUS = 421
 _HEALTH_PATH = "/health"
+# Requests to paths with this end get an answer of that size.
+_LARGE_SUFFIX = "/large"
+_LARGE_BYTES = 5_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -33,6 +36,7 @@
         cold_s: Remaining coldness in its heartbeats, in seconds.
         health_cold: Value of the header of its health checks that tells
             the remaining coldness; empty if there is none.
+        health_bytes: Size of the body of a health check's answer.
     """
 
     delay_s: float = 0.0
@@ -44,6 +48,7 @@
     leaving: bool = False
     cold_s: float = 0.0
     health_cold: str = ""
+    health_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -229,7 +234,10 @@
         if behaviour.reset:
             sock = environ["werkzeug.socket"]
             sock.shutdown(socket.SHUT_RDWR)
-        response = wrappers.Response(f"{self.instance}\n", behaviour.status)
+        body = f"{self.instance}\n"
+        if request.path.endswith(_LARGE_SUFFIX):
+            body = body.ljust(_LARGE_BYTES)
+        response = wrappers.Response(body, behaviour.status)
         response.headers["X-Request-Id"] = request_id
         if behaviour.limit_per_s is not None:
             response.headers["Server-Limit"] = f"{behaviour.limit_per_s:g}"
@@ -242,7 +250,8 @@
     def _answer_health_check(self):
         self.health_checks += 1
         status = 503 if self.state in ("draining", "left") else 200
-        response = wrappers.Response("", status)
+        body = " " * self.behaviour.health_bytes
+        response = wrappers.Response(body, status)
         response.headers["X-Instance-Id"] = self.instance
         if self.behaviour.health_cold:
             response.headers["X-Cold-Ms"] = self.behaviour.health_cold
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -29,6 +29,9 @@
 _ANNOUNCE_INTERVAL_S = 1.0
 _UNLIMITED_CAPACITY = 10_000
 _CRASH_DELAY_S = 0.1
+# Requests to paths with this end get an answer of that size.
+_LARGE_SUFFIX = "/large"
+_LARGE_BYTES = 5_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -123,6 +126,8 @@
                 time.sleep(behaviour.delay_s)
         name = f"{self._identity.service}/{self._identity.version}"
         text = f"{name} {request.method} {request.path} {body} {request_id}\n"
+        if request.path.endswith(_LARGE_SUFFIX):
+            text = text.ljust(_LARGE_BYTES)
         status = 500 if failed else 200
         self._lines.emit(
             "target-finished",
