Share the loop's time among connections

What callers saw: beside 400 clients that send a body in chunks of one byte, no ordinary request was answered in 20 s; nor beside compressed frames at the address for other nodes.

Cause: the data of one read, up to 64 KiB, was parsed at once, and each connection got its turn in the order of the selector. Beside 150 connections with 10 ms of parsing each, a request that needs some turns of the loop passes its deadline.

Change: a fair queue for the steps of all connections of the process. Data that waits counts as incomplete, and no longer keeps a connection from giving way. The servers for heartbeats, readiness and metrics have a budget each and connections by the descriptors, so that a crowd at one does not keep out the others. A closing server accepts no more than its maximum.

--- a/features/steps/reads_steps.py
+++ b/features/steps/reads_steps.py
@@ -301,9 +301,8 @@
 )
 def server_with_budget(context, count):
     """Start the server; its other limits have defaults."""
-    bounds = request_limits.caller_bounds(
-        _settings.ReadSettings(), byte_budget.ByteBudget(count)
-    )
+    reads = _settings.ReadSettings(held_bytes=count)
+    bounds = request_limits.ProcessBounds(reads).callers()
     _serve_callers(context, agreed.CallerLimits(), bounds)
 
 
--- /dev/null
+++ b/src/arbutusstall/_bounds/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds of what one process holds and computes for its connections."""
--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from arbutusstall._bounds import fair_queue
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
@@ -25,16 +26,19 @@
 server closes."""
 
 # Data is parsed in slices of this size. What one slice holds is the most that
-# is processed beyond a limit.
+# is processed beyond a limit, and before other connections have a turn.
 _SLICE_BYTES = 4_096
 # Slices of 4 KiB made parsing a body of 1 MB 60 % slower.
 _BODY_SLICE_BYTES = 16_384
+# A body that comes in smaller parts than this is parsed in small slices.
+_MIN_PART_BYTES = 1_024
 # Some clients send one after a body; it is no start of a request.
 _EMPTY_LINES = (b"\r\n", b"\n")
 # A chunk of one byte has five bytes of chunked encoding around it.
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 # The separators of a head whose names and values have the maximum size.
 _HEAD_OVERHEAD_FACTOR = 2
+_NO_DATA = memoryview(b"")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
@@ -127,8 +131,13 @@
         self._pipelined: collections.deque[tuple[Exchange, bool]] = (
             collections.deque()
         )
-        # Received data that is not parsed yet; reading is paused meanwhile.
-        self._unparsed = b""
+        # Received data that is not parsed yet, and how many bytes of it are
+        # reserved; reading is paused while any are.
+        self._unparsed = _NO_DATA
+        self._unparsed_reserved = 0
+        self._turns = fair_queue.Flow(
+            server.bounds.turns, self._step, self.abort
+        )
         self._begun = False
         self._writing_paused = False
         self._unsent_bytes = 0
@@ -144,6 +153,8 @@
         self._first_byte_s = 0.0
         self._overhead_bytes = 0
         self._head_done = False
+        # Whether the body comes in chunks of a few bytes.
+        self._has_small_parts = False
         self._bodies: byte_budget.Reservation | None = None
         if server.bounds.bodies is not None:
             self._bodies = byte_budget.Reservation(server.bounds.bodies)
@@ -153,22 +164,34 @@
 
     @property
     def busy(self) -> bool:
-        return self._has_requests or self._has_unsent
+        """Whether a request waits, or bytes of an answer are unsent."""
+        return self._has_complete or self.unsent_bytes > 0
 
     @property
-    def head_held(self) -> int:
-        return 0 if self._head_done else self._head_reserved
+    def has_work(self) -> bool:
+        """Whether it is busy, or data has to be parsed."""
+        return self._has_requests or self.unsent_bytes > 0
 
     @property
-    def _has_requests(self) -> bool:
-        return bool(
-            self._current is not None or self._pipelined or self._unparsed
-        )
+    def head_held(self) -> int:
+        """Bytes held for the head and the data of an incomplete request."""
+        if self._has_complete:
+            return 0
+        return self._head_reserved + self._unparsed_reserved
 
     @property
-    def _has_unsent(self) -> bool:
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the client has not taken."""
         transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    @property
+    def _has_complete(self) -> bool:
+        return self._current is not None or bool(self._pipelined)
+
+    @property
+    def _has_requests(self) -> bool:
+        return self._has_complete or bool(self._unparsed)
 
     @property
     def is_expecting(self) -> bool:
@@ -196,6 +219,7 @@
         if exchange is not None:
             exchange.cancel()
         self._pipelined.clear()
+        self._unparsed = _NO_DATA
         self._drop_message()
         # The parser refers to this connection and may hold an unfinished
         # line; without the cycle both are freed at once.
@@ -207,7 +231,7 @@
 
     def resume_writing(self) -> None:
         self._writing_paused = False
-        self._continue_soon()
+        self._turns.wake_soon()
 
     def data_received(self, data: bytes) -> None:
         if self._failed:
@@ -218,17 +242,12 @@
             self._overhead_bytes or data not in _EMPTY_LINES
         ):
             self._first_byte_s = now_s
-        if (
-            len(data) <= _SLICE_BYTES
-            and not self._unparsed
-            and not self._pipelined
-            and not self._writing_paused
-        ):
-            self._parse(data)
-        else:
-            self._parse_slices(self._unparsed + data)
-        if self._pipelined and self._current is None:
-            self._continue_soon()
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
+        self._turns.wake()
+        if self._unparsed:
+            self._hold_unparsed()
 
     # Called by the parser.
 
@@ -258,14 +277,15 @@
             self._write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
-        self._body += body
         # The bytes of a body that began in the slice of an earlier request
         # were not counted.
         self._overhead_bytes = max(0, self._overhead_bytes - len(body))
-        if len(self._body) > self._server.limits.body_bytes:
+        self._has_small_parts = len(body) < _MIN_PART_BYTES
+        if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._stop_parser(_BODY_TOO_LARGE)
-        elif self._bodies is not None and not self._bodies.reserve(len(body)):
+        if not self._reserve_body(len(body)):
             self._stop_parser(_UNAVAILABLE, _RETRY_AFTER)
+        self._body += body
 
     def on_message_complete(self) -> None:
         if self._failed:
@@ -319,7 +339,7 @@
         if close:
             self._close()
         elif more:
-            self._continue_soon()
+            self._turns.wake_soon()
 
     def close_if_idle(self) -> None:
         if self._has_requests or self.is_expecting:
@@ -336,10 +356,12 @@
         return bool(poll.poll(0))
 
     def abort(self) -> None:
+        """Close the connection at once; unsent data is lost."""
         if self._transport is not None:
             self._transport.abort()
 
     def shed(self) -> None:
+        """Refuse the incomplete request and release what it holds."""
         self._reject(_UNAVAILABLE, _RETRY_AFTER)
 
     def check_timeouts(self, now_s: float) -> None:
@@ -386,7 +408,7 @@
         self._body = bytearray()
         self._head_done = False
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: memoryview) -> None:
         """Parse at most one slice of data."""
         self._begun = False
         self._overhead_bytes += len(data)
@@ -418,50 +440,69 @@
             except _Rejected:
                 return
 
-    def _parse_slices(self, data: bytes) -> None:
-        """Parse data until a request has to wait; keep the rest."""
-        self._heads.release_part(len(self._unparsed))
-        self._unparsed = b""
-        start = 0
-        while (
-            start < len(data)
-            and not self._failed
-            and not self._pipelined
-            and not self._writing_paused
-        ):
-            size = _BODY_SLICE_BYTES if self._head_done else _SLICE_BYTES
-            self._parse(data[start : start + size])
-            start += size
-        transport = self._transport
-        if self._failed or transport is None:
-            return
-        if start >= len(data):
-            transport.resume_reading()
-            return
-        if not self._reserve(len(data) - start):
-            self._reject(_UNAVAILABLE, _RETRY_AFTER)
-            return
-        self._unparsed = data[start:]
-        transport.pause_reading()
-
-    def _continue_soon(self) -> None:
-        self._server.loop.call_soon(self._continue)
+    def _step(self) -> bool:
+        """Begin the next request that waits, or parse a slice of data.
 
-    def _continue(self) -> None:
-        """Begin the next request that waits, or parse more data."""
+        Returns:
+            Whether more of either can be done.
+        """
         transport = self._transport
         if transport is None or transport.is_closing():
-            return
-        if self._current is not None or self._writing_paused:
-            return
-        if self._pipelined:
+            return False
+        if self._can_begin:
             self._begin(*self._pipelined.popleft())
-        elif self._unparsed and not self._failed:
+        elif self._can_parse:
+            self._parse_slice()
+        if not self._unparsed and not self._failed:
+            self._release_unparsed()
+        return self._can_begin or self._can_parse
+
+    @property
+    def _can_begin(self) -> bool:
+        return (
+            self._current is None
+            and bool(self._pipelined)
+            and not self._writing_paused
+        )
+
+    @property
+    def _can_parse(self) -> bool:
+        return (
+            bool(self._unparsed)
+            and not self._failed
+            and not self._pipelined
+            and not self._writing_paused
+        )
+
+    def _parse_slice(self) -> None:
+        if self._unparsed_reserved:
             # The time for which the data waited here is not the client's.
             self._first_byte_s = self._server.loop.time()
-            self._parse_slices(self._unparsed)
-            if self._pipelined and self._current is None:
-                self._continue_soon()
+        size = _SLICE_BYTES
+        if self._head_done and not self._has_small_parts:
+            size = _BODY_SLICE_BYTES
+        data = self._unparsed[:size]
+        self._unparsed = self._unparsed[size:]
+        self._parse(data)
+
+    def _hold_unparsed(self) -> None:
+        """Keep data for a later turn; the client sends no more meanwhile."""
+        missing = len(self._unparsed) - self._unparsed_reserved
+        if missing > 0:
+            if not self._reserve(missing):
+                self._reject(_UNAVAILABLE, _RETRY_AFTER)
+                return
+            self._unparsed_reserved += missing
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _release_unparsed(self) -> None:
+        if not self._unparsed_reserved:
+            return
+        self._heads.release_part(self._unparsed_reserved)
+        self._unparsed_reserved = 0
+        if self._transport is not None:
+            self._transport.resume_reading()
 
     def _begin(self, exchange: Exchange, keep_alive: bool) -> None:
         self._current = exchange
@@ -499,6 +540,9 @@
         self._server.connections.make_room()
         return not self._failed and self._heads.reserve(count)
 
+    def _reserve_body(self, count: int) -> bool:
+        return self._bodies is None or self._bodies.reserve(count)
+
     def _stop_parser(
         self, status: int, headers: http_messages.Headers = ()
     ) -> None:
@@ -530,9 +574,12 @@
         """Read nothing more, and release what is incomplete."""
         self._failed = True
         self._reading = False
-        self._heads.release_part(self._head_reserved + len(self._unparsed))
+        self._heads.release_part(self._head_reserved + self._unparsed_reserved)
         self._head_reserved = 0
-        self._unparsed = b""
+        self._unparsed_reserved = 0
+        self._unparsed = _NO_DATA
+        if self._bodies is not None:
+            self._bodies.release_part(len(self._body))
         self._drop_message()
         if self._transport is not None:
             self._transport.pause_reading()
--- a/src/arbutusstall/_proxy/http_server.py
+++ b/src/arbutusstall/_proxy/http_server.py
@@ -72,7 +72,7 @@
         """
         accepting = len(self._accepting)
         return accepting + sum(
-            connection.busy or (self.closing and connection.is_expecting)
+            connection.has_work or (self.closing and connection.is_expecting)
             for connection in self.connections.all
         )
 
@@ -104,9 +104,17 @@
         for connection in list(self.connections.all):
             connection.abort()
 
+    @property
+    def _has_room(self) -> bool:
+        taken = len(self.connections.all) + len(self._accepting)
+        return taken < self.bounds.connections
+
     def _accept_waiting(self, listener: socket.socket) -> None:
-        """Accept the connections that the kernel has completed."""
-        while True:
+        """Accept the connections that the kernel has completed.
+
+        Beyond the maximum they are left, and end with the listener.
+        """
+        while self._has_room:
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -16,7 +16,6 @@
 from arbutusstall._log import source as sources
 from arbutusstall._proxy import admin
 from arbutusstall._proxy import bodies
-from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import frames
@@ -70,7 +69,7 @@
     """All parts of one node process; needs a running event loop.
 
     Attributes:
-        control_bounds: Bounds of the servers other than that for callers.
+        bounds: Bounds that all servers of the process share.
     """
 
     def __init__(
@@ -85,14 +84,15 @@
         self._control = control.ControlLoop(
             self.core, _clock.SystemClock(), settings.tick_s
         )
-        budget = byte_budget.ByteBudget(settings.reads.held_bytes)
+        self.bounds = request_limits.ProcessBounds(settings.reads)
+        bodies_held = self.bounds.bodies
         self.inbound = inbound.Inbound(
             settings,
             environment.dialect,
             incarnation,
             self._control.put,
             self.log,
-            budget,
+            bodies_held,
         )
         node_peers = peers.Peers(settings.node, self.inbound, settings.reads)
         self._quota_gate = quota_gate.QuotaGate(
@@ -117,7 +117,7 @@
             streams.Acceptor(
                 self._streams,
                 self.inbound,
-                bodies.BodyReceiver(self.inbound, settings.reads, budget),
+                bodies.BodyReceiver(self.inbound, settings.reads, bodies_held),
                 self._quota_gate.answer,
             ).owner,
             settings.reads,
@@ -134,13 +134,12 @@
         self._caller_server = http_server.HttpServer(
             settings.addresses.callers,
             self.outbound,
-            bounds=request_limits.caller_bounds(settings.reads, budget),
+            bounds=self.bounds.callers(),
         )
-        self.control_bounds = request_limits.control_bounds(settings.reads)
         self._admin_server = http_server.HttpServer(
             settings.addresses.admin,
             admin.Admin(self.core),
-            bounds=self.control_bounds,
+            bounds=self.bounds.control(),
         )
         self._target = local_target.LocalTarget(
             settings,
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 from arbutusstall import _settings
+from arbutusstall._bounds import fair_queue
 from arbutusstall._proxy import byte_budget
 from arbutusstall._shell import call_metrics
 
@@ -26,6 +27,8 @@
 # small requests.
 _CONTROL_FRACTION = 4
 _CONTROL_CONNECTIONS = 64
+# Part of the callers' connections that each of these servers may have.
+_CONTROL_PART = 16
 # Part of the connections that may be without any complete request before
 # they, rather than idle ones, give way to new connections.
 _NEW_FRACTION = 8
@@ -45,38 +48,63 @@
         heads: Bytes of the heads and of the unparsed data that are held.
         bodies: Bytes of the bodies that are held; None for no bound.
         connections: Maximum number of connections.
+        turns: Divides the loop's time among connections.
     """
 
     heads: byte_budget.ByteBudget
     bodies: byte_budget.ByteBudget | None
     connections: int
+    turns: fair_queue.FairQueue = dataclasses.field(
+        default_factory=fair_queue.FairQueue
+    )
 
 
-def caller_bounds(
-    reads: _settings.ReadSettings, bodies: byte_budget.ByteBudget
-) -> ServerBounds:
-    """Return the bounds of the server for callers.
+class ProcessBounds:
+    """What all servers of a process share, and the bounds of each.
 
-    Args:
+    Attributes:
         bodies: Bounds all bodies that the process holds.
     """
-    return ServerBounds(
-        heads=byte_budget.ByteBudget(reads.head_bytes),
-        bodies=bodies,
-        connections=reads.client_connections,
-    )
 
+    def __init__(self, reads: _settings.ReadSettings) -> None:
+        self.bodies = byte_budget.ByteBudget(reads.held_bytes)
+        self._reads = reads
+        self._turns = fair_queue.FairQueue()
+
+    def callers(self) -> ServerBounds:
+        """Return the bounds of the server for callers."""
+        return self._server(
+            byte_budget.ByteBudget(self._reads.head_bytes),
+            self.bodies,
+            self._reads.client_connections,
+        )
 
-def control_bounds(reads: _settings.ReadSettings) -> ServerBounds:
-    """Return the bounds that the other servers of the process share.
+    def control(self) -> ServerBounds:
+        """Return the bounds of one of the other servers.
 
-    Their budget is their own, so that a crowd of callers does not keep the
-    target's heartbeats and the readiness checks out, and the other way round.
-    """
-    budget = byte_budget.ByteBudget(reads.head_bytes // _CONTROL_FRACTION)
-    return ServerBounds(
-        heads=budget, bodies=budget, connections=_CONTROL_CONNECTIONS
-    )
+        The budget is its own, so that a crowd at one address does not keep
+        out the target's heartbeats, the readiness checks or the callers.
+        """
+        budget = byte_budget.ByteBudget(
+            self._reads.head_bytes // _CONTROL_FRACTION
+        )
+        connections = self._reads.client_connections // _CONTROL_PART
+        return self._server(
+            budget, budget, max(1, min(_CONTROL_CONNECTIONS, connections))
+        )
+
+    def _server(
+        self,
+        heads: byte_budget.ByteBudget,
+        bodies: byte_budget.ByteBudget | None,
+        connections: int,
+    ) -> ServerBounds:
+        return ServerBounds(
+            heads=heads,
+            bodies=bodies,
+            connections=connections,
+            turns=self._turns,
+        )
 
 
 class Evictable(Protocol):
@@ -89,7 +117,7 @@
 
     @property
     def head_held(self) -> int:
-        """Bytes held for a head that is not complete; otherwise zero."""
+        """Bytes held for an incomplete request, without its body."""
         ...
 
     def shed(self) -> None:
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -65,12 +65,12 @@
     heartbeat_server = http_server.HttpServer(
         settings.control_address,
         endpoints.HeartbeatHandler(node, settings.service),
-        bounds=node.control_bounds,
+        bounds=node.bounds.control(),
     )
     ready_server = http_server.HttpServer(
         settings.ready_address,
         endpoints.ReadinessHandler(node),
-        bounds=node.control_bounds,
+        bounds=node.bounds.control(),
     )
     settings_watch = reloading.SettingsWatch(path, settings, node.log)
     asyncio.get_running_loop().add_signal_handler(
