Let the oldest incomplete bodies give way

What callers saw: once bodies that drip held all of the budget, each further body got 503 for as long as one byte came in a header timeout.

Cause: the budget of bodies refused the new one and never asked who held it.

A rejected body is released at once, and not when its connection has ended.

--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -151,6 +151,7 @@
         # Time of the first byte since the last complete request, and the
         # number of bytes since then that are not of a body.
         self._first_byte_s = 0.0
+        self._began_s = 0.0
         self._overhead_bytes = 0
         self._head_done = False
         # Whether the body comes in chunks of a few bytes.
@@ -179,6 +180,16 @@
             return 0
         return self._head_reserved + self._unparsed_reserved
 
+    @property
+    def body_held(self) -> int:
+        """Bytes held for the body of an incomplete request."""
+        return 0 if self._has_complete else len(self._body)
+
+    @property
+    def began_s(self) -> float:
+        """Loop time at which the incomplete request began."""
+        return self._began_s
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of answers that the client has not taken."""
@@ -254,8 +265,9 @@
     def on_message_begin(self) -> None:
         self._reading = True
         self._used = True
+        self._began_s = self._server.loop.time()
         if not self._first_byte_s:
-            self._first_byte_s = self._server.loop.time()
+            self._first_byte_s = self._began_s
         self._start_message()
 
     def on_url(self, url: bytes) -> None:
@@ -541,7 +553,11 @@
         return not self._failed and self._heads.reserve(count)
 
     def _reserve_body(self, count: int) -> bool:
-        return self._bodies is None or self._bodies.reserve(count)
+        """Reserve bytes; other connections' incomplete bodies give way."""
+        if self._bodies is None or self._bodies.reserve(count):
+            return True
+        self._server.connections.make_body_room()
+        return not self._failed and self._bodies.reserve(count)
 
     def _stop_parser(
         self, status: int, headers: http_messages.Headers = ()
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -120,6 +120,16 @@
         """Bytes held for an incomplete request, without its body."""
         ...
 
+    @property
+    def body_held(self) -> int:
+        """Bytes held for the body of an incomplete request."""
+        ...
+
+    @property
+    def began_s(self) -> float:
+        """Loop time at which the incomplete request began."""
+        ...
+
     def shed(self) -> None:
         """Refuse the incomplete request and release what it holds."""
         ...
@@ -189,6 +199,27 @@
             wanted -= held
             connection.shed()
 
+    def make_body_room(self) -> None:
+        """Refuse the oldest incomplete bodies to free a part of the budget.
+
+        Bodies that arrive slowly are older than others of their size.
+        """
+        budget = self.bounds.bodies
+        if budget is None:
+            return
+        waiting = sorted(
+            itertools.chain(self._new, self._idle),
+            key=lambda connection: connection.began_s,
+        )
+        wanted = budget.limit // _FREED_FRACTION
+        for connection in waiting:
+            held = connection.body_held
+            if wanted <= 0:
+                return
+            if held > 0:
+                wanted -= held
+                connection.shed()
+
     def _evict(self, newcomer: _Connection) -> bool:
         """Close a connection; return whether it is not the newcomer."""
         many_new = len(self._new) > self.bounds.connections // _NEW_FRACTION
