Bound the answers that nobody takes

What was seen: clients that take no answers hold one each, and nothing bounded them together.

Cause: a connection pauses when its client does not read, after the answer that it has; 150 connections with 1 MB are more than the machine has.

Change: a bound for the unsent data of all connections of the process. Beyond it the connection with the most is closed; of two, the one that waits longer.

--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -223,6 +223,7 @@
         self._transport = None
         self._failed = True
         self._server.connections.remove(self)
+        self._server.bounds.unsent.remove(self)
         if self._bodies is not None:
             self._bodies.release()
         self._heads.release()
@@ -242,6 +243,7 @@
 
     def resume_writing(self) -> None:
         self._writing_paused = False
+        self._server.bounds.unsent.update(self)
         self._turns.wake_soon()
 
     def data_received(self, data: bytes) -> None:
@@ -606,5 +608,8 @@
             self._transport.close()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
+        if self._transport is None:
+            return
+        self._transport.write(data)
+        if self.unsent_bytes:
+            self._server.bounds.unsent.update(self)
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -10,6 +10,7 @@
 
 from arbutusstall import _settings
 from arbutusstall._bounds import fair_queue
+from arbutusstall._bounds import unsent_data
 from arbutusstall._proxy import byte_budget
 from arbutusstall._shell import call_metrics
 
@@ -29,6 +30,7 @@
 _CONTROL_CONNECTIONS = 64
 # Part of the callers' connections that each of these servers may have.
 _CONTROL_PART = 16
+_DEFAULT_UNSENT_BYTES = 32 * 1024 * 1024
 # Part of the connections that may be without any complete request before
 # they, rather than idle ones, give way to new connections.
 _NEW_FRACTION = 8
@@ -49,6 +51,7 @@
         bodies: Bytes of the bodies that are held; None for no bound.
         connections: Maximum number of connections.
         turns: Divides the loop's time among connections.
+        unsent: Bounds the data that clients have not taken.
     """
 
     heads: byte_budget.ByteBudget
@@ -57,6 +60,9 @@
     turns: fair_queue.FairQueue = dataclasses.field(
         default_factory=fair_queue.FairQueue
     )
+    unsent: unsent_data.UnsentData[unsent_data.Writer] = dataclasses.field(
+        default_factory=lambda: unsent_data.UnsentData(_DEFAULT_UNSENT_BYTES)
+    )
 
 
 class ProcessBounds:
@@ -70,6 +76,9 @@
         self.bodies = byte_budget.ByteBudget(reads.held_bytes)
         self._reads = reads
         self._turns = fair_queue.FairQueue()
+        self._unsent: unsent_data.UnsentData[unsent_data.Writer] = (
+            unsent_data.UnsentData(max(reads.head_bytes, reads.answer_bytes))
+        )
 
     def callers(self) -> ServerBounds:
         """Return the bounds of the server for callers."""
@@ -104,6 +113,7 @@
             bodies=bodies,
             connections=connections,
             turns=self._turns,
+            unsent=self._unsent,
         )
 
 
--- a/src/arbutusstall/_shell/call_metrics.py
+++ b/src/arbutusstall/_shell/call_metrics.py
@@ -33,6 +33,10 @@
     "arbutusstall_client_evictions",
     "Waiting connections of clients that were closed to admit new ones.",
 )
+UNTAKEN = prometheus_client.Counter(
+    "arbutusstall_untaken_answers",
+    "Connections that were closed because of answers that nobody took.",
+)
 TARGET_REQUESTS = prometheus_client.Counter(
     "arbutusstall_target_requests",
     "Requests that the inbound proxy sent to its target.",
