Bound what the address for other nodes holds

What was seen on, with 100 MB and 300 descriptors in the settings: frames that never end 219 MB, parts of frames on 400 connections 130 MB and 434 descriptors, calls of very many header lines 373 MB, calls with large bodies 207 MB, compressed frames that grow 163 MB.

Cause: a frame had a maximum size, and nothing bounded the frames of all connections together, the connections, or what a frame is once it is decoded or decompressed (64 MiB).

Change: the frame server uses the register, the budgets and the queue of the HTTP servers. Data that is not decoded counts for all connections together, the largest gives way; connections are half of those of callers. Until its sender is admitted as a child, a message is as long as a call may be, also decompressed.

--- a/benchmarks/loop_calls.py
+++ b/benchmarks/loop_calls.py
@@ -24,7 +24,7 @@
 from arbutusstall._proxy import bodies  # noqa: E402
 from arbutusstall._proxy import byte_budget  # noqa: E402
 from arbutusstall._proxy import event_loop  # noqa: E402
-from arbutusstall._proxy import frames  # noqa: E402
+from arbutusstall._proxy import frame_server  # noqa: E402
 from arbutusstall._proxy import http_server  # noqa: E402
 from arbutusstall._proxy import inbound  # noqa: E402
 from arbutusstall._proxy import outbound  # noqa: E402
@@ -177,7 +177,7 @@
         receiver,
     )
     peer_address = f"127.0.0.1:{ports.take()}"
-    await frames.FrameServer(
+    await frame_server.FrameServer(
         peer_address, acceptor.owner, settings.reads
     ).start()
     outbound_proxy = outbound.Outbound(
--- a/features/steps/bodies_steps.py
+++ b/features/steps/bodies_steps.py
@@ -16,6 +16,7 @@
 from arbutusstall import settings as node_settings
 from arbutusstall._proxy import bodies
 from arbutusstall._proxy import byte_budget
+from arbutusstall._proxy import frame_server
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import peers
@@ -191,7 +192,7 @@
             self.receiver,
         )
         self.address = f"127.0.0.1:{node_port}"
-        server = frames.FrameServer(self.address, acceptor.owner, _READS)
+        server = frame_server.FrameServer(self.address, acceptor.owner, _READS)
         await server.start()
         self.peers = peers.Peers("other", self.inbound, _READS)
         self.peer = self.peers.get(
--- a/features/steps/quota_links_steps.py
+++ b/features/steps/quota_links_steps.py
@@ -11,7 +11,7 @@
 from arbutusstall import settings as node_settings
 from arbutusstall._proxy import bodies
 from arbutusstall._proxy import byte_budget
-from arbutusstall._proxy import frames
+from arbutusstall._proxy import frame_server
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import peers
 from arbutusstall._proxy import quota_gate
@@ -73,7 +73,7 @@
 
     async def listen(self, address):
         """Accept connections of the other node."""
-        self._server = frames.FrameServer(
+        self._server = frame_server.FrameServer(
             address, self._acceptor.owner, _READS
         )
         await self._server.start()
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -12,7 +12,7 @@
 import ports
 
 from arbutusstall import settings
-from arbutusstall._proxy import frames
+from arbutusstall._proxy import frame_server
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import http_server
 from arbutusstall._wire import messages
@@ -37,6 +37,8 @@
 class _LargeMessages:
     """Owner of a connection between nodes; answers with a large message."""
 
+    busy = False
+
     def on_message(self, connection, message):
         """Answer the greeting."""
         connection.send(
@@ -228,7 +230,7 @@
     else:
         greeting = messages.encode(messages.CallGreeting(node="n"))
         context.request = len(greeting).to_bytes(4, "big") + greeting
-        context.build = lambda: frames.FrameServer(
+        context.build = lambda: frame_server.FrameServer(
             address, _LargeMessages, settings.ReadSettings()
         )
 
--- a/src/arbutusstall/_proxy/byte_budget.py
+++ b/src/arbutusstall/_proxy/byte_budget.py
@@ -38,6 +38,11 @@
         self._budget = budget
         self._held = 0
 
+    @property
+    def held(self) -> int:
+        """Number of bytes reserved now."""
+        return self._held
+
     def reserve(self, count: int) -> bool:
         """Reserve ``count`` more bytes; false if that exceeds the limit."""
         if not self._budget.reserve(count):
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -8,7 +8,6 @@
 import struct
 from typing import cast
 from typing import Protocol
-import weakref
 
 from arbutusstall import _settings
 from arbutusstall import errors
@@ -23,7 +22,6 @@
 # Bodies are sent in chunks, so that small messages can go between them.
 _CHUNK_BYTES = 8 * 1024
 _WRITE_HIGH_WATER_BYTES = 32 * 1024
-_BACKLOG = 512
 
 
 class Owner(Protocol):
@@ -40,6 +38,15 @@
         ...
 
 
+class AcceptingOwner(Owner, Protocol):
+    """The owner of a connection that another node has opened."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether the connection is needed, and is not closed for others."""
+        ...
+
+
 class FrameConnection(reading.DataProtocol):
     """A connection that carries messages both ways.
 
@@ -48,6 +55,7 @@
         on_connected: Called once the connection is open.
 
     Attributes:
+        frame_limit: Maximum size of a message, also decompressed.
         last_received_s: Loop time at which data was last received.
         owner: Receives the messages; may be replaced.
     """
@@ -61,6 +69,7 @@
         super().__init__()
         self.owner = owner
         self._reads = reads
+        self.frame_limit = reads.frame_bytes
         self.last_received_s = asyncio.get_running_loop().time()
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
@@ -109,30 +118,40 @@
     def data_received(self, data: bytes) -> None:
         """Decode the complete frames and pass their messages to the owner."""
         self.last_received_s = asyncio.get_running_loop().time()
+        self._buffer += data
+        while self._process_frame():
+            pass
+
+    def _process_frame(self) -> bool:
+        """Pass the message of one complete frame to the owner.
+
+        Returns:
+            Whether there was one.
+        """
         buffer = self._buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(buffer, start)
-            end = start + _LENGTH.size + size
-            if size > self._reads.frame_bytes:
-                self._fail(
-                    f"frame of {size} bytes exceeds the limit of"
-                    f" {self._reads.frame_bytes} bytes"
-                )
-                return
-            if len(buffer) < end:
-                break
-            frame = bytes(buffer[start + _LENGTH.size : end])
-            start = end
-            try:
-                message = messages.decode(frame)
-            except errors.WireError as exc:
-                self._fail(exc.reason)
-                return
-            with failures.Logged(type(message).__name__):
-                self.owner.on_message(self, message)
-        del buffer[:start]
+        if len(buffer) < _LENGTH.size or not self.is_open:
+            return False
+        (size,) = _LENGTH.unpack_from(buffer)
+        if size > self.frame_limit:
+            self._fail(
+                f"frame of {size} bytes exceeds the limit of"
+                f" {self.frame_limit} bytes"
+            )
+            return False
+        end = _LENGTH.size + size
+        if len(buffer) < end:
+            return False
+        with memoryview(buffer) as view:
+            frame = bytes(view[_LENGTH.size : end])
+        del buffer[:end]
+        try:
+            message = messages.decode(frame, self.frame_limit)
+        except errors.WireError as exc:
+            self._fail(exc.reason)
+            return False
+        with failures.Logged(type(message).__name__):
+            self.owner.on_message(self, message)
+        return True
 
     def pause_writing(self) -> None:
         """Stop sending chunks of bodies until the write buffer drains."""
@@ -183,6 +202,20 @@
         transport.write(_LENGTH.pack(len(data)) + data)
         return True
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and the peer has not taken."""
+        transport = self._transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Close the connection once the sent data is written."""
         if self._transport is not None:
@@ -200,48 +233,6 @@
         self.abort()
 
 
-class FrameServer:
-    """Accepts connections from other nodes."""
-
-    def __init__(
-        self,
-        address: str,
-        make_owner: abc.Callable[[], Owner],
-        reads: _settings.ReadSettings,
-    ) -> None:
-        self._address = address
-        self._make_owner = make_owner
-        self._reads = reads
-        self._server: asyncio.Server | None = None
-        self._connections: weakref.WeakSet[FrameConnection] = weakref.WeakSet()
-
-    @property
-    def busy(self) -> int:
-        """Number of connections whose peer has not taken all messages."""
-        return sum(item.has_unsent for item in self._connections)
-
-    async def start(self) -> None:
-        """Listen on the address."""
-        host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.get_running_loop().create_server(
-            self._make_connection,
-            host,
-            int(port),
-            backlog=_BACKLOG,
-            reuse_address=True,
-        )
-
-    def close(self) -> None:
-        """Accept no further connections; open ones are kept."""
-        if self._server is not None:
-            self._server.close()
-
-    def _make_connection(self) -> FrameConnection:
-        connection = FrameConnection(self._make_owner(), self._reads)
-        self._connections.add(connection)
-        return connection
-
-
 async def connect(
     address: str,
     owner: Owner,
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -18,7 +18,7 @@
 from arbutusstall._proxy import bodies
 from arbutusstall._proxy import control
 from arbutusstall._proxy import dialects
-from arbutusstall._proxy import frames
+from arbutusstall._proxy import frame_server
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import local_target
@@ -112,7 +112,7 @@
             self._quota_gate,
         )
         self._streams = streams.Streams(self._control.put, settings.reads)
-        self._frame_server = frames.FrameServer(
+        self._frame_server = frame_server.FrameServer(
             settings.addresses.inbound,
             streams.Acceptor(
                 self._streams,
@@ -121,6 +121,7 @@
                 self._quota_gate.answer,
             ).owner,
             settings.reads,
+            self.bounds.peers(),
         )
         self._log_worker = log_worker.LogWorker(
             environment.log, settings.log, self
@@ -276,6 +277,7 @@
         self.inbound.put_in_force(effect.view)
         self.outbound.put_in_force(effect)
         self._quota_gate.put_in_force(effect)
+        self._frame_server.limits = effect.view.snapshot.limits
         self._caller_server.limits = effect.view.snapshot.limits
 
     def _emit(self, effect: _effects.Emit) -> None:
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -28,8 +28,10 @@
 # small requests.
 _CONTROL_FRACTION = 4
 _CONTROL_CONNECTIONS = 64
-# Part of the callers' connections that each of these servers may have.
+# Parts of the callers' connections that each of these servers, and the one
+# for other nodes, may have.
 _CONTROL_PART = 16
+_PEER_FRACTION = 2
 _DEFAULT_UNSENT_BYTES = 32 * 1024 * 1024
 # Part of the connections that may be without any complete request before
 # they, rather than idle ones, give way to new connections.
@@ -88,6 +90,18 @@
             self._reads.client_connections,
         )
 
+    def peers(self) -> ServerBounds:
+        """Return the bounds of the server for other nodes.
+
+        The bodies of calls are bounded once the messages are decoded.
+        """
+        limit = max(self._reads.head_bytes, self._reads.frame_bytes)
+        return self._server(
+            byte_budget.ByteBudget(limit),
+            None,
+            max(1, self._reads.client_connections // _PEER_FRACTION),
+        )
+
     def control(self) -> ServerBounds:
         """Return the bounds of one of the other servers.
 
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -8,6 +8,7 @@
 from arbutusstall import errors
 from arbutusstall._proxy import background
 from arbutusstall._proxy import bodies
+from arbutusstall._proxy import frame_server
 from arbutusstall._proxy import frames
 from arbutusstall._proxy import inbound
 from arbutusstall._wire import messages
@@ -35,8 +36,20 @@
         self.peer = peer
         self.connection: frames.FrameConnection | None = None
         self.closed = False
+        self._is_admitted = False
         self._streams = streams
 
+    @property
+    def busy(self) -> bool:
+        """Whether the peer was admitted as a child."""
+        return self._is_admitted
+
+    def admit(self) -> None:
+        """Let the peer send whatever children send."""
+        self._is_admitted = True
+        if isinstance(self.connection, frame_server.AcceptedConnection):
+            self.connection.admit()
+
     def send(self, data: bytes) -> None:
         if self.connection is not None:
             self.connection.send_encoded(data)
@@ -87,7 +100,10 @@
     def accept(
         self, connection: frames.FrameConnection, hello: messages.Hello
     ) -> None:
-        """Use a connection that another node has opened as a stream."""
+        """Use a connection that another node has opened as a stream.
+
+        Its messages are small until the node is admitted.
+        """
         stream = _Stream(self, hello.node)
         stream.connection = connection
         connection.owner = stream
@@ -111,6 +127,8 @@
         """Send a message over the stream to a peer, if there is one."""
         stream = self._streams_by_peer.get(effect.peer)
         if stream is not None:
+            if isinstance(effect.message, messages.Welcome):
+                stream.admit()
             stream.send(self._encode(effect.message))
 
     def close(self) -> None:
@@ -190,7 +208,7 @@
         self._receiver = receiver
         self._answer_quota = answer_quota
 
-    def owner(self) -> frames.Owner:
+    def owner(self) -> frames.AcceptingOwner:
         """Return an owner for a new connection."""
         return _PeerConnection(
             self._streams, self._proxy, self._receiver, self._answer_quota
@@ -213,6 +231,11 @@
         self._answer_quota = answer_quota
         self._call_ids: set[str] = set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether calls of this connection have no answer yet."""
+        return bool(self._call_ids)
+
     def on_message(
         self,
         connection: frames.FrameConnection,
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -206,17 +206,20 @@
     return _ENCODER.encode((_COMPRESSED_KIND, zlib.compress(data, level=1)))
 
 
-def decode(data: bytes) -> Message:
+def decode(data: bytes, max_bytes: int = _MAX_DECOMPRESSED_BYTES) -> Message:
     """Return the message encoded in ``data``.
 
+    Args:
+        max_bytes: Maximum size of the message after decompression.
+
     Raises:
         WireError: The bytes are malformed, decompress to more than
-            64 MiB, or have an unknown message kind.
+            ``max_bytes``, or have an unknown message kind.
     """
     try:
         kind, body = _ENVELOPE_DECODER.decode(data)
         if kind == _COMPRESSED_KIND:
-            kind, body = _ENVELOPE_DECODER.decode(_decompress(body))
+            kind, body = _ENVELOPE_DECODER.decode(_decompress(body, max_bytes))
         decoder = _DECODERS_BY_KIND.get(kind)
         if decoder is None:
             raise _invalid(f"unknown message kind {kind!r}")
@@ -253,12 +256,14 @@
     return MemberUpdate(rows=tuple(rows))
 
 
-def _decompress(body: msgspec.Raw) -> bytes:
+def _decompress(body: msgspec.Raw, max_bytes: int) -> bytes:
     compressed = msgspec.msgpack.decode(body, type=bytes)
     decompressor = zlib.decompressobj()
-    data = decompressor.decompress(compressed, _MAX_DECOMPRESSED_BYTES)
+    data = decompressor.decompress(compressed, max_bytes)
     if not decompressor.eof:
-        raise _invalid("compressed message is truncated or exceeds 64 MiB")
+        raise _invalid(
+            f"compressed message is truncated or exceeds {max_bytes} bytes"
+        )
     return data
 
 
