Count the bodies of calls beside the target

Cause: a body was counted while it arrived, and no longer once its call was queued; a body inside a call never was. A queue of 256 calls could hold 256 bodies.

Change: a call's head and body count against their budgets until the call ends. One without room is refused as not run ("no room for the body") and goes on to another endpoint. A body of a local caller counts at its server.

--- a/src/arbutusstall/_proxy/bodies.py
+++ b/src/arbutusstall/_proxy/bodies.py
@@ -13,6 +13,7 @@
 
 from arbutusstall import _settings
 from arbutusstall._proxy import byte_budget
+from arbutusstall._proxy import call_memory
 from arbutusstall._proxy import inbound
 from arbutusstall._proxy import request_limits
 from arbutusstall._systems import admission
@@ -21,7 +22,7 @@
 from arbutusstall._wire import messages
 
 LENGTH_MISMATCH = "the body is not as long as announced"
-NO_ROOM = "no room for the body"
+NO_ROOM = call_memory.NO_BODY_ROOM
 
 # Fraction of a call's remaining time that its body may wait to be requested.
 _MAX_WAIT_FRACTION = 0.25
--- a/src/arbutusstall/_proxy/inbound.py
+++ b/src/arbutusstall/_proxy/inbound.py
@@ -12,10 +12,10 @@
 from arbutusstall import errors
 from arbutusstall._proxy import background
 from arbutusstall._proxy import byte_budget
+from arbutusstall._proxy import call_memory
 from arbutusstall._proxy import dialects
 from arbutusstall._proxy import http_client
 from arbutusstall._proxy import http_messages
-from arbutusstall._proxy import request_limits
 from arbutusstall._proxy import target_log
 from arbutusstall._proxy import target_probe
 from arbutusstall._proxy import target_states
@@ -59,7 +59,7 @@
         started_s: Loop time of the start, zero while the call is queued.
         connection: Connection that carries the call at present.
         cancelled: Whether the sender has cancelled the call.
-        held_bytes: Bytes of the budget that its head takes.
+        held: Bytes of the budgets that its head and body take.
         revocations: Called with the outcome, one for each revocation
             that came while the call ran.
     """
@@ -73,7 +73,7 @@
     timer: asyncio.TimerHandle | None = None
     connection: http_client.Connection | None = None
     cancelled: bool = False
-    held_bytes: int = 0
+    held: call_memory.CallMemory
     revocations: list[RevokedCallback] = dataclasses.field(
         default_factory=list
     )
@@ -253,10 +253,20 @@
             slots=self.admission.slots,
         )
 
-    def submit(self, call: messages.CallRequest, done: AnswerCallback) -> None:
+    def submit(
+        self,
+        call: messages.CallRequest,
+        done: AnswerCallback,
+        *,
+        is_local: bool = False,
+    ) -> None:
         """Run or queue a call, or refuse it.
 
         ``done`` is called once with the answer.
+
+        Args:
+            is_local: Whether the server for callers holds the body and
+                counts it.
         """
         now_ms = self.now_ms()
         target = self._target
@@ -265,9 +275,8 @@
         attempt_id = arrivals.attempt_id(call)
         treatment = self._suspects.treatment(fingerprint, time.time())
         refusal = self._refusal_reason(call, treatment)
-        held_bytes = request_limits.head_bytes(call.headers)
-        if not self.heads.reserve(held_bytes):
-            refusal, held_bytes = refusal or admission.NO_HEAD_ROOM, 0
+        held = call_memory.CallMemory(self.heads, self._bodies)
+        refusal = refusal or held.reserve(call, with_body=not is_local)
         if refusal or target is None:
             decision = self.admission.refuse(attempt_id, refusal, now_ms)
         else:
@@ -280,7 +289,7 @@
                 aim_ms=call.aim_ms,
             )
         if target is None or decision.verdict is admission.Verdict.REFUSE:
-            self.heads.release(held_bytes)
+            held.release()
             self._answer(call, done, arrivals.refusal_answer(call, decision))
             return
         running = _RunningCall(
@@ -289,7 +298,7 @@
             fingerprint=fingerprint,
             arrived_ms=now_ms,
             target=target,
-            held_bytes=held_bytes,
+            held=held,
         )
         self._running_by_id[call.call_id] = running
         for call_id in decision.evicted:
@@ -555,7 +564,7 @@
         call = running.call
         if self._running_by_id.pop(call.call_id, None) is None:
             return
-        self.heads.release(running.held_bytes)
+        running.held.release()
         if running.timer is not None:
             running.timer.cancel()
             running.timer = None
@@ -626,7 +635,7 @@
 
     def _remove(self, running: _RunningCall) -> None:
         if self._running_by_id.pop(running.call.call_id, None) is not None:
-            self.heads.release(running.held_bytes)
+            running.held.release()
         if running.timer is not None:
             running.timer.cancel()
             running.timer = None
--- a/src/arbutusstall/_proxy/peers.py
+++ b/src/arbutusstall/_proxy/peers.py
@@ -87,7 +87,7 @@
             incarnation=self._proxy.incarnation,
             sent_ms=self._proxy.now_ms(),
         )
-        self._proxy.submit(call, done)
+        self._proxy.submit(call, done, is_local=True)
 
     def revoke(
         self, call: messages.CallRequest, done: RevokedCallback
