Serve the threaded interface by the same server

What was seen: the threaded interface had no bound of connections, heads, bodies or unread data; a worker was held for ten seconds by each client that sent a part of a request.

Change: web.py runs the HTTP server of the event loop in a thread, with the same bounds, and passes complete requests to its workers. The parser and the poller of its own are gone.

--- a/src/arbutusstall/_proxy/http_messages.py
+++ b/src/arbutusstall/_proxy/http_messages.py
@@ -27,11 +27,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
-    """A complete response."""
+    """A complete response.
+
+    Attributes:
+        length: Content-Length of an answer to HEAD, which has no body; None
+            for the length of the body.
+    """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
+    length: int | None = None
 
 
 def get_header(headers: Headers, lower_name: str) -> str:
@@ -76,7 +82,10 @@
     lines = [f"HTTP/1.1 {status} {_PHRASES_BY_STATUS.get(status, '')}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
     if status not in _BODILESS_STATUSES:
-        lines.append(f"Content-Length: {len(response.body)}")
+        length = response.length
+        if length is None:
+            length = len(response.body)
+        lines.append(f"Content-Length: {length}")
     if close:
         lines.append("Connection: close")
     head = _encode_head(lines)
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -102,6 +102,14 @@
             max(1, self._reads.client_connections // _PEER_FRACTION),
         )
 
+    def calls(self) -> ServerBounds:
+        """Return the bounds of a server for calls that are HTTP requests."""
+        return dataclasses.replace(
+            self.peers(),
+            heads=byte_budget.ByteBudget(self._reads.head_bytes),
+            bodies=self.bodies,
+        )
+
     def control(self) -> ServerBounds:
         """Return the bounds of one of the other servers.
 
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -58,6 +58,11 @@
     cancelled: bool = False
 
 
+def worker_count(calls: _settings.CallSettings) -> int:
+    """Return how many messages of other nodes are processed at once."""
+    return calls.connections + _SPARE_WORKERS
+
+
 class Inbound:
     """Admits calls, runs them at the target and counts their outcomes.
 
@@ -71,6 +76,7 @@
         loop: control.ControlLoop,
         incarnation: int,
         log: events.EventLog,
+        serving: web.Serving | None = None,
     ) -> None:
         calls = settings.calls
         self._settings = settings
@@ -102,7 +108,7 @@
         self._server = web.WebServer(
             settings.addresses.inbound,
             self,
-            workers=calls.connections + _SPARE_WORKERS,
+            serving or web.Serving(workers=worker_count(calls)),
         )
         call_metrics.IN_FLIGHT.set_function(lambda: self.admission.in_flight)
         call_metrics.QUEUED.set_function(lambda: self.admission.queued)
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -9,15 +9,18 @@
 from arbutusstall import _core
 from arbutusstall import _effects
 from arbutusstall import _settings
+from arbutusstall._proxy import request_limits
 from arbutusstall._shell import admin
 from arbutusstall._shell import control
 from arbutusstall._shell import events
 from arbutusstall._shell import inbound
 from arbutusstall._shell import log_client
 from arbutusstall._shell import log_worker
+from arbutusstall._shell import loop_thread
 from arbutusstall._shell import outbound
 from arbutusstall._shell import relay
 from arbutusstall._shell import web
+from arbutusstall._tables import agreed
 
 # Time for the other nodes to learn that this one stops. Callers are still
 # served meanwhile.
@@ -36,8 +39,21 @@
         self._loop = control.ControlLoop(
             self._core, _clock.SystemClock(), settings.tick_s
         )
+        self._thread = loop_thread.LoopThread()
+        bounds = request_limits.ProcessBounds(settings.reads)
         self._inbound = inbound.Inbound(
-            settings, self._loop, incarnation, self._log
+            settings,
+            self._loop,
+            incarnation,
+            self._log,
+            web.Serving(
+                thread=self._thread,
+                bounds=bounds.calls(),
+                limits=agreed.CallerLimits(
+                    body_bytes=settings.reads.frame_bytes
+                ),
+                workers=inbound.worker_count(settings.calls),
+            ),
         )
         self._outbound = outbound.Outbound(settings, self._inbound, self._log)
         self._relay = relay.Relay(settings.addresses.relay, self._loop)
@@ -47,12 +63,17 @@
         self._caller_server = web.WebServer(
             settings.addresses.callers,
             self._outbound,
-            workers=settings.calls.connections,
+            web.Serving(
+                thread=self._thread,
+                bounds=bounds.callers(),
+                workers=settings.calls.connections,
+            ),
         )
         self._drain_timeout_s = settings.calls.max_deadline_ms / 1000 + 1
         self._admin_server = web.WebServer(
             settings.addresses.admin,
             admin.Admin(self._core, self._loop, self._inbound, self._outbound),
+            web.Serving(thread=self._thread, bounds=bounds.control()),
         )
         self._register_executors()
 
@@ -61,6 +82,7 @@
         stopping = threading.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: stopping.set())
+        self._thread.start()
         self._relay.start()
         self._inbound.start()
         self._loop.start()
--- a/src/arbutusstall/_shell/web.py
+++ b/src/arbutusstall/_shell/web.py
@@ -1,51 +1,55 @@
-"""A threaded HTTP server with persistent connections.
+"""Serves a WSGI application behind the HTTP server of the event loop.
 
-Idle connections occupy no thread: one thread polls them and passes each
-connection that becomes readable to a pool of workers.
+The loop reads requests and writes answers, within the bounds of
+`request_limits`; the application runs in threads, once a request is
+complete.
 """
 
+import asyncio
 from collections import abc
 from concurrent import futures
-import contextlib
-import logging
-import os
-import select
-import socket
-import threading
+import dataclasses
 import time
+from typing import Any
 
-from werkzeug import serving
+from werkzeug import exceptions
 
+from arbutusstall import _settings
+from arbutusstall._proxy import http_connection
+from arbutusstall._proxy import http_messages
+from arbutusstall._proxy import http_server
+from arbutusstall._proxy import request_limits
 from arbutusstall._shell import exchange
+from arbutusstall._shell import failures
+from arbutusstall._shell import loop_thread
+from arbutusstall._tables import agreed
 
 WsgiApp = abc.Callable[..., abc.Iterable[bytes]]
 
 _DEFAULT_WORKERS = 64
-_BACKLOG = 512
-_POLL_TIMEOUT_S = 0.5
-_NEXT_REQUEST_WAIT_MS = 2
-_IDLE_TIMEOUT_S = 60.0
-_READABLE_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
-_HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
+_STOP_POLL_INTERVAL_S = 0.005
+_CONTENT_LENGTH = "content-length"
 
 
-class _Connection:
-    """A connection of a client.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Serving:
+    """How a server is served.
 
     Attributes:
-        busy: Whether a worker serves the connection or it is being closed.
-        idle_since_s: Monotonic time since which it is idle.
+        thread: Runs the loop; the server starts one if it is None.
+        bounds: Bounds of the server.
+        limits: Limits of its requests.
+        workers: Maximum number of requests that run concurrently.
     """
 
-    __slots__ = ("busy", "exchange", "idle_since_s", "socket")
-
-    def __init__(
-        self, sock: socket.socket, handler: exchange.Exchange
-    ) -> None:
-        self.socket = sock
-        self.exchange = handler
-        self.busy = False
-        self.idle_since_s = time.monotonic()
+    thread: loop_thread.LoopThread | None = None
+    bounds: request_limits.ServerBounds = dataclasses.field(
+        default_factory=lambda: request_limits.ProcessBounds(
+            _settings.ReadSettings()
+        ).callers()
+    )
+    limits: agreed.CallerLimits = agreed.CallerLimits()
+    workers: int = _DEFAULT_WORKERS
 
 
 class WebServer:
@@ -53,46 +57,32 @@
 
     Args:
         address: Host and port, separated by a colon.
-        workers: Maximum number of requests that are served concurrently.
     """
 
     def __init__(
-        self, address: str, app: WsgiApp, workers: int = _DEFAULT_WORKERS
+        self, address: str, app: WsgiApp, serving: Serving | None = None
     ) -> None:
-        host, _, port = address.rpartition(":")
-        logging.getLogger("werkzeug").setLevel(logging.ERROR)
-        self._server = serving.make_server(
-            host,
-            int(port),
-            app,
-            threaded=True,
-            request_handler=exchange.Exchange,
-        )
-        self._listener = self._server.socket
-        self._listener.listen(_BACKLOG)
-        self._listener.setblocking(False)
+        self._address = address
+        self._app = app
+        self._serving = serving or Serving()
+        self._own_thread = self._serving.thread is None
+        self._thread = self._serving.thread or loop_thread.LoopThread()
         self._pool = futures.ThreadPoolExecutor(
-            max_workers=workers, thread_name_prefix=f"web-{port}"
+            max_workers=self._serving.workers,
+            thread_name_prefix=f"web-{address.rpartition(':')[2]}",
         )
-        self._workers = workers
-        self._epoll = select.epoll()
-        self._wakeup = os.eventfd(0, os.EFD_NONBLOCK)
-        self._lock = threading.Lock()
-        self._connections_by_fd: dict[int, _Connection] = {}
-        self._busy_count = 0
-        self._closing = False
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._poll, daemon=True)
+        self._server: http_server.HttpServer | None = None
 
     def start(self) -> None:
         """Start to accept connections."""
-        self._epoll.register(self._listener, select.EPOLLIN)
-        self._epoll.register(self._wakeup, select.EPOLLIN)
-        self._thread.start()
+        if self._own_thread:
+            self._thread.start()
+        self._server = self._thread.run(self._start())
 
     def close_connections(self) -> None:
         """Close each connection after its next answer, from now on."""
-        self._closing = True
+        if self._server is not None:
+            self._server.closing = True
 
     def stop(self, grace_s: float = 0.0) -> None:
         """Close the listener and all connections.
@@ -100,127 +90,76 @@
         Args:
             grace_s: Time limit for the requests in flight, in seconds.
         """
-        self._closing = True
-        with contextlib.suppress(OSError, ValueError):
-            self._epoll.unregister(self._listener)
-        self._listener.close()
-        end_s = time.monotonic() + grace_s
-        while self._busy_count and time.monotonic() < end_s:
-            time.sleep(0.005)
-        self._stopped.set()
-        os.eventfd_write(self._wakeup, 1)
-        self._thread.join(timeout=2 * _POLL_TIMEOUT_S)
-        for connection in list(self._connections_by_fd.values()):
-            if connection.busy:
-                # The worker closes the connection; the shutdown ends a read
-                # that blocks it.
-                with contextlib.suppress(OSError):
-                    connection.socket.shutdown(socket.SHUT_RDWR)
-            else:
-                self._close(connection)
+        server, self._server = self._server, None
+        if server is not None:
+            self._thread.run(self._stop(server, grace_s))
+        if self._own_thread:
+            self._thread.stop()
         self._pool.shutdown(wait=False)
 
-    def _poll(self) -> None:
-        listener = self._listener.fileno()
-        next_idle_check_s = time.monotonic() + _IDLE_TIMEOUT_S
-        while not self._stopped.is_set():
-            for fd, mask in self._epoll.poll(_POLL_TIMEOUT_S):
-                if fd == listener:
-                    self._accept()
-                else:
-                    self._on_event(fd, mask)
-            if time.monotonic() > next_idle_check_s:
-                self._close_idle()
-                next_idle_check_s = time.monotonic() + _IDLE_TIMEOUT_S
-
-    def _accept(self) -> None:
-        for _ in range(_BACKLOG):
-            try:
-                sock, address = self._listener.accept()
-            except OSError:
-                return
-            handler = exchange.Exchange(sock, address, self._server)
-            with self._lock:
-                self._connections_by_fd[sock.fileno()] = _Connection(
-                    sock, handler
-                )
-            self._epoll.register(sock, _READABLE_EVENTS)
-
-    def _on_event(self, fd: int, mask: int) -> None:
-        with self._lock:
-            connection = self._connections_by_fd.get(fd)
-            if connection is None:
-                return
-            was_busy = connection.busy
-            if not was_busy:
-                connection.busy = True
-                self._busy_count += 1
-        if was_busy:
-            if mask & (select.EPOLLRDHUP | select.EPOLLHUP):
-                connection.exchange.cancellation.cancel()
-            return
-        self._pool.submit(self._serve_until_idle, connection)
-
-    def _serve_until_idle(self, connection: _Connection) -> None:
-        fd = connection.socket.fileno()
-        kept = False
+    def handle(self, request: http_connection.Exchange) -> None:
+        """Run the application for a request in a thread."""
+        cancellation = exchange.Cancellation()
+        request.on_cancelled = cancellation.cancel
+        self._pool.submit(self._run, request, cancellation)
+
+    async def _start(self) -> http_server.HttpServer:
+        server = http_server.HttpServer(
+            self._address, self, self._serving.limits, self._serving.bounds
+        )
+        await server.start()
+        return server
+
+    async def _stop(
+        self, server: http_server.HttpServer, grace_s: float
+    ) -> None:
+        server.close_listener()
+        end_s = time.monotonic() + grace_s
+        while server.busy and time.monotonic() < end_s:
+            await asyncio.sleep(_STOP_POLL_INTERVAL_S)
+        server.close()
+        # The loop closes the aborted connections in its next turn.
+        await asyncio.sleep(0)
+
+    def _run(
+        self,
+        request: http_connection.Exchange,
+        cancellation: exchange.Cancellation,
+    ) -> None:
+        environ = exchange.make_environ(
+            request.request, cancellation, self._address
+        )
         try:
-            kept = self._serve_requests(connection, fd)
-        finally:
-            with self._lock:
-                self._busy_count -= 1
-                connection.busy = False
-            if not kept or self._stopped.is_set():
-                self._close(connection)
-            else:
-                connection.idle_since_s = time.monotonic()
-                self._watch(fd, _READABLE_EVENTS)
-
-    def _serve_requests(self, connection: _Connection, fd: int) -> bool:
-        while True:
-            self._watch(fd, _HANGUP_EVENTS)
-            connection.exchange.closing = self._closing
-            if not connection.exchange.serve_one():
-                return False
-            if not self._has_next_request(connection, fd):
-                return True
-
-    def _has_next_request(self, connection: _Connection, fd: int) -> bool:
-        """Return whether the next request has arrived.
-
-        Waits a moment for it unless more than half of the workers are
-        busy: a client that sends its next request at once is served by the
-        same thread, without a detour through the polling thread. The buffer
-        is checked last, since this takes three system calls and clients
-        rarely send a request before the previous answer.
-        """
-        if self._busy_count * 2 <= self._workers:
-            poller = select.poll()
-            poller.register(fd, select.POLLIN)
-            if poller.poll(_NEXT_REQUEST_WAIT_MS):
-                return True
-        return connection.exchange.has_buffered()
-
-    def _watch(self, fd: int, mask: int) -> None:
-        with contextlib.suppress(OSError, ValueError):
-            self._epoll.modify(fd, mask)
-
-    def _close(self, connection: _Connection) -> None:
-        with self._lock:
-            fd = connection.socket.fileno()
-            if self._connections_by_fd.get(fd) is connection:
-                del self._connections_by_fd[fd]
-        connection.exchange.close()
-
-    def _close_idle(self) -> None:
-        limit_s = time.monotonic() - _IDLE_TIMEOUT_S
-        with self._lock:
-            old = [
-                connection
-                for connection in self._connections_by_fd.values()
-                if not connection.busy and connection.idle_since_s < limit_s
-            ]
-            for connection in old:
-                connection.busy = True
-        for connection in old:
-            self._close(connection)
+            response = _respond(self._app, environ)
+        except Exception as exc:  # noqa: BLE001
+            failures.log("request", exc)
+            response = _respond(exceptions.InternalServerError(), environ)
+        # A client that closes after its answer must cancel nothing.
+        cancellation.set_callback(None)
+        self._thread.call(request.answer, response)
+
+
+def _respond(app: Any, environ: dict[str, Any]) -> http_messages.Response:
+    started: list[Any] = []
+
+    def start_response(
+        status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> abc.Callable[[bytes], object]:
+        started[:] = [status, headers]
+        return started.append
+
+    body = b"".join(app(environ, start_response))
+    status, headers = started
+    length = None
+    kept = []
+    for name, value in headers:
+        if name.lower() == _CONTENT_LENGTH:
+            length = int(value)
+        else:
+            kept.append((name, value))
+    return http_messages.Response(
+        status=int(status.split(" ", 1)[0]),
+        headers=tuple(kept),
+        body=body,
+        length=length if environ["REQUEST_METHOD"] == "HEAD" else None,
+    )
--- a/tests/call_rig.py
+++ b/tests/call_rig.py
@@ -230,7 +230,7 @@
         proxy = outbound.Outbound(settings, local, log)
         proxy.put_in_force(_effects.PutInForce(view=self._view()))
         address = mesh.free_addresses(1)[0]
-        server = web.WebServer(address, proxy, workers=130)
+        server = web.WebServer(address, proxy, web.Serving(workers=130))
         server.start()
         return address, server, proxy
 
