Carry streams between threaded nodes in frames

What was seen: the relay's gRPC server takes any number of connections; gRPC for Python has no bound for them or for what they hold together.

Change: relay.py runs the streams and the frame server of the platform's nodes on the loop of the process, with the same bounds. Outbox and its threads are gone; the test of a peer that does not read now sends over a real connection and checks the same 9 MB. Metrics keep their names.

--- a/features/steps/tree_process_steps.py
+++ b/features/steps/tree_process_steps.py
@@ -1,11 +1,16 @@
 """Steps for the distribution tree of real processes."""
 
+import asyncio
 import signal
+import socket
 
 import behave
 import mesh
+import ports
 
-from arbutusstall._shell import relay
+from arbutusstall import settings
+from arbutusstall._proxy import frames
+from arbutusstall._wire import messages
 
 _TIMEOUT_S = 30.0
 
@@ -104,27 +109,49 @@
     )
 
 
-@behave.given("an outbox that is not read")
-def outbox(context):
-    """Create the outbox of a stream that no thread reads."""
-    context.outbox = relay.Outbox()
+@behave.given("a connection to a peer that does not read")
+def unread_peer(context):
+    """Listen without reading; the kernel accepts the connection."""
+    context.listener = socket.create_server(("127.0.0.1", ports.take()))
+    context.add_cleanup(context.listener.close)
 
 
-@behave.when("messages are queued without end")
-def fill_outbox(context):
-    """Queue messages until one is refused, a bounded number of times."""
-    data = b"x" * 10_000
-    context.queued = 0
+class _Owner:
+    """Gets no messages."""
+
+    def on_message(self, connection, message):
+        """Ignore a message."""
+
+    def on_lost(self, connection, reason):
+        """Ignore the end."""
+
+
+async def _send_without_end(context):
+    host, port = context.listener.getsockname()
+    connection = await frames.connect(
+        f"{host}:{port}", _Owner(), settings.ReadSettings(), _TIMEOUT_S
+    )
+    part = messages.CallBody(call_id="c", data=b"x" * 10_000)
     for _ in range(10_000):
-        if not context.outbox.put(data):
-            break
-        context.queued += len(data)
+        if not connection.send(part):
+            context.is_cut = True
+            return
+        context.held = max(context.held, connection.unsent_bytes)
+
+
+@behave.when("messages are sent without end")
+def send_without_end(context):
+    """Send messages until one is refused, a bounded number of times."""
+    context.held = 0
+    context.is_cut = False
+    asyncio.run(_send_without_end(context))
 
 
-@behave.then("the outbox refuses them before it holds {limit:d} megabytes")
-def outbox_is_bounded(context, limit):
-    """Check how many bytes were accepted."""
-    assert 0 < context.queued < limit * 1_000_000, context.queued
+@behave.then("it is cut before it holds {limit:d} megabytes")
+def connection_is_bounded(context, limit):
+    """Check how many bytes were held for the peer."""
+    assert context.is_cut
+    assert 0 < context.held < limit * 1_000_000, context.held
 
 
 def _statuses(context):
--- a/features/tree_processes.feature
+++ b/features/tree_processes.feature
@@ -12,6 +12,6 @@
     And a release reaches all tree processes within 4 seconds
 
   Scenario: a peer that does not read is cut and costs bounded memory
-    Given an outbox that is not read
-    When messages are queued without end
-    Then the outbox refuses them before it holds 9 megabytes
+    Given a connection to a peer that does not read
+    When messages are sent without end
+    Then it is cut before it holds 9 megabytes
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -56,6 +56,7 @@
 
     Attributes:
         frame_limit: Maximum size of a message, also decompressed.
+        message_bytes: Size of the message that the owner got last.
         last_received_s: Loop time at which data was last received.
         owner: Receives the messages; may be replaced.
     """
@@ -70,6 +71,7 @@
         self.owner = owner
         self._reads = reads
         self.frame_limit = reads.frame_bytes
+        self.message_bytes = 0
         self.last_received_s = asyncio.get_running_loop().time()
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
@@ -144,6 +146,7 @@
         with memoryview(buffer) as view:
             frame = bytes(view[_LENGTH.size : end])
         del buffer[:end]
+        self.message_bytes = size
         try:
             message = messages.decode(frame, self.frame_limit)
         except errors.WireError as exc:
@@ -233,6 +236,14 @@
         self.abort()
 
 
+def reject(connection: FrameConnection, message: messages.Message) -> None:
+    """Close a connection that has sent a message it must not send."""
+    LOG.warning(
+        {"event": "message-unexpected", "kind": type(message).__name__}
+    )
+    connection.abort()
+
+
 async def connect(
     address: str,
     owner: Owner,
--- a/src/arbutusstall/_proxy/streams.py
+++ b/src/arbutusstall/_proxy/streams.py
@@ -1,7 +1,8 @@
 """Streams between nodes for configuration and membership messages."""
 
 from collections import abc
-import logging
+
+import prometheus_client
 
 from arbutusstall import _effects
 from arbutusstall import _settings
@@ -18,8 +19,14 @@
     messages.QuotaPledged | messages.QuotaGrant | None,
 ]
 
-LOG = logging.getLogger(__name__)
-
+_SENT_BYTES = prometheus_client.Counter(
+    "arbutusstall_relay_sent_bytes",
+    "Size of the messages sent over streams to other nodes, in bytes.",
+)
+_RECEIVED_BYTES = prometheus_client.Counter(
+    "arbutusstall_relay_received_bytes",
+    "Size of the messages received over streams, in bytes.",
+)
 _CONNECT_TIMEOUT_S = 1.0
 
 
@@ -52,6 +59,7 @@
 
     def send(self, data: bytes) -> None:
         if self.connection is not None:
+            _SENT_BYTES.inc(len(data))
             self.connection.send_encoded(data)
 
     def close(self) -> None:
@@ -64,6 +72,7 @@
         connection: frames.FrameConnection,
         message: messages.Message,
     ) -> None:
+        _RECEIVED_BYTES.inc(connection.message_bytes)
         if isinstance(message, messages.Welcome | messages.Refusal):
             self._streams.rekey(self, message.node)
         if not self.closed:
@@ -117,6 +126,16 @@
         """
         self._put(_effects.Received(peer=hello.node, message=hello))
 
+    def greet(
+        self, connection: frames.FrameConnection, hello: messages.Hello
+    ) -> None:
+        """Accept a stream, or pass on an invitation and close."""
+        if hello.invite:
+            self.deliver_invitation(hello)
+            connection.close()
+        else:
+            self.accept(connection, hello)
+
     def disconnect(self, effect: _effects.Disconnect) -> None:
         """Close the stream to a peer once all sent data is written."""
         stream = self._streams_by_peer.pop(effect.peer, None)
@@ -261,19 +280,10 @@
                 reply = self._answer_quota(message)
                 if reply is not None:
                     connection.send(reply)
-            case messages.Hello(invite=True):
-                self._streams.deliver_invitation(message)
-                connection.close()
             case messages.Hello():
-                self._streams.accept(connection, message)
+                self._streams.greet(connection, message)
             case _:
-                LOG.warning(
-                    {
-                        "event": "message-unexpected",
-                        "kind": type(message).__name__,
-                    }
-                )
-                connection.abort()
+                frames.reject(connection, message)
 
     def on_lost(self, connection: frames.FrameConnection, reason: str) -> None:
         for call_id in list(self._call_ids):
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -13,7 +13,7 @@
     Attributes:
         callers: HTTP for callers (the outbound proxy).
         inbound: HTTP for calls from other nodes.
-        relay: gRPC for configuration and membership streams.
+        relay: Frames for configuration and membership streams.
         admin: HTTP for metrics, health, status and announcements.
     """
 
--- a/src/arbutusstall/_shell/node.py
+++ b/src/arbutusstall/_shell/node.py
@@ -56,7 +56,13 @@
             ),
         )
         self._outbound = outbound.Outbound(settings, self._inbound, self._log)
-        self._relay = relay.Relay(settings.addresses.relay, self._loop)
+        self._relay = relay.Relay(
+            settings.addresses.relay,
+            settings.reads,
+            self._loop,
+            self._thread,
+            bounds.peers(),
+        )
         self._log_worker = log_worker.LogWorker(
             log_client.HttpLogClient(settings.log), settings.log, self._loop
         )
--- a/src/arbutusstall/_tables/members.py
+++ b/src/arbutusstall/_tables/members.py
@@ -42,8 +42,8 @@
         version: Version of the service that the target runs.
         target: HTTP address of the target, ``IP:PORT``.
         slots: Requests that the target runs concurrently.
-        inbound: gRPC address for calls to the target.
-        relay: gRPC address for configuration streams.
+        inbound: Address for calls to the target.
+        relay: Address for configuration streams.
         departed: Start of the target that announced its departure, as
             `target_start` returns it; empty if the last target did not
             announce one.
