Keep the body of a request that offers an upgrade

Cause: the parser ends a request after its head when it offers another protocol, and what followed was dropped.

Change: the offer is ignored, as HTTP/1.1 lets a server do. Another parser is given the framing of the known head, and reads the body and what follows. CONNECT ends as before.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -62,3 +62,18 @@
     Given a register of at most 3 connections, all busy
     When 5 more connect at once
     Then 3 connections are held and the 5 were closed
+
+  # Guards against: a request that offers another protocol runs with an empty
+  # body, and what follows it is lost.
+  Scenario Outline: a request that offers an upgrade keeps its body, <framing>
+    Given a server whose header timeout is 500 ms
+    When one client offers an upgrade with a body, <framing>, and sends a request
+    Then it gets 2 answers
+    And the first request has run with that body
+
+    Examples:
+      | framing               |
+      | with its length       |
+      | in chunks             |
+      | in chunks, in pieces  |
+      | without any bytes     |
--- a/features/steps/request_limits_steps.py
+++ b/features/steps/request_limits_steps.py
@@ -17,6 +17,7 @@
 
 _TIMEOUT_S = 10.0
 _QUIET_S = 0.5
+_DRIP_INTERVAL_S = 0.1
 _GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 _LAST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
@@ -37,7 +38,13 @@
 
 
 def _serve(
-    context, *, heads=10_000_000, connections=1_000, answer_bytes=2, **limits
+    context,
+    *,
+    heads=10_000_000,
+    bodies=1_000_000,
+    connections=1_000,
+    answer_bytes=2,
+    **limits,
 ):
     loop = asyncio.new_event_loop()
     started = threading.Event()
@@ -51,7 +58,7 @@
             agreed.CallerLimits(**limits),
             request_limits.ServerBounds(
                 heads=byte_budget.ByteBudget(heads),
-                bodies=byte_budget.ByteBudget(1_000_000),
+                bodies=byte_budget.ByteBudget(bodies),
                 connections=connections,
             ),
         )
@@ -108,6 +115,57 @@
     _serve(context, heads=count)
 
 
+@behave.given("a server that holds at most {count:d} bytes of bodies")
+def few_body_bytes(context, count):
+    """Start it with the defaults of all other limits."""
+    _serve(context, bodies=count)
+
+
+def _body_head(size):
+    return b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+
+
+def _drip(socks, stopped):
+    while not stopped.wait(_DRIP_INTERVAL_S):
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                sock.sendall(b"x")
+
+
+@behave.when(
+    "{count:d} clients send {size:d} bytes of a body each,"
+    " then a byte now and then"
+)
+def drip_bodies(context, count, size):
+    """Send twice as much as their sizes, one after the other."""
+    context.drippers = []
+    for _ in range(count):
+        sock = _connect(context)
+        sock.sendall(_body_head(2 * size) + b"x" * size)
+        context.drippers.append(sock)
+        time.sleep(_DRIP_INTERVAL_S)
+    stopped = threading.Event()
+    context.add_cleanup(stopped.set)
+    threading.Thread(target=_drip, args=(context.drippers, stopped)).start()
+
+
+@behave.then("a new client's body of {size:d} bytes is taken")
+def body_taken(context, size):
+    """Send it whole."""
+    sock = _connect(context)
+    sock.sendall(_body_head(size) + b"x" * size)
+    received = sock.recv(65_536)
+    assert received.startswith(b"HTTP/1.1 200 "), received
+    assert len(context.recorder.requests[0].body) == size
+
+
+@behave.then("the client that began first gets 503")
+def first_refused(context):
+    """Check the first of those whose bodies are incomplete."""
+    received = _receive_all(context.drippers[0])
+    assert received.startswith(b"HTTP/1.1 503 "), received
+
+
 @behave.when("one client sends {count:d} requests at once")
 def send_pipelined(context, count):
     """Send them in one write; the last one asks to close."""
@@ -202,6 +260,45 @@
     assert name not in dict(request.headers), request.headers
 
 
+_BODY = b"charge=1"
+_CHUNKED_BODY = b"8\r\ncharge=1\r\n0\r\n\r\n"
+_BODIES_BY_FRAMING = {
+    "with its length": b"Content-Length: 8\r\n\r\n" + _BODY,
+    "in chunks": b"Transfer-Encoding: chunked\r\n\r\n" + _CHUNKED_BODY,
+    "in chunks, in pieces": b"Transfer-Encoding: chunked\r\n\r\n"
+    + _CHUNKED_BODY,
+    "without any bytes": b"Content-Length: 0\r\n\r\n",
+}
+
+
+@behave.when(
+    "one client offers an upgrade with a body, {framing}, and sends a request"
+)
+def offer_upgrade(context, framing):
+    """Send both in one write, or byte by byte."""
+    context.body = b"" if framing == "without any bytes" else _BODY
+    sock = _connect(context)
+    data = (
+        b"POST /charge HTTP/1.1\r\nHost: a\r\n"
+        b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+        + _BODIES_BY_FRAMING[framing]
+        + _LAST
+    )
+    size = 1 if framing.endswith("in pieces") else len(data)
+    for start in range(0, len(data), size):
+        sock.sendall(data[start : start + size])
+    context.received = _receive_all(sock)
+
+
+@behave.then("the first request has run with that body")
+def upgrade_keeps_body(context):
+    """Check what the handler got."""
+    first, second = context.recorder.requests
+    assert (first.method, first.target) == ("POST", "/charge"), first
+    assert first.body == context.body, first
+    assert second.method == "GET", second
+
+
 @behave.when("one client sends {count:d} requests at once and takes no answer")
 def take_no_answer(context, count):
     """Wait until the number of requests that ran stays the same."""
--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -39,6 +39,8 @@
 # The separators of a head whose names and values have the maximum size.
 _HEAD_OVERHEAD_FACTOR = 2
 _NO_DATA = memoryview(b"")
+_CONNECT = b"CONNECT"
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
@@ -154,6 +156,8 @@
         self._began_s = 0.0
         self._overhead_bytes = 0
         self._head_done = False
+        # Whether the parser gets a head again that is known already.
+        self._is_head_known = False
         # Whether the body comes in chunks of a few bytes.
         self._has_small_parts = False
         self._bodies: byte_budget.Reservation | None = None
@@ -265,6 +269,8 @@
     # Called by the parser.
 
     def on_message_begin(self) -> None:
+        if self._is_head_known:
+            return
         self._reading = True
         self._used = True
         self._began_s = self._server.loop.time()
@@ -273,17 +279,22 @@
         self._start_message()
 
     def on_url(self, url: bytes) -> None:
+        if self._is_head_known:
+            return
         self._target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head_done:
-            # A trailer; its bytes count, and it is not forwarded.
+            # A trailer, whose bytes count and which is not forwarded, or a
+            # line of a head that is known.
             return
         self._count_head_bytes(len(name) + len(value))
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        if self._is_head_known:
+            return
         self._reserve_head()
         self._head_done = True
         pairs = tuple(self._headers)
@@ -306,6 +317,9 @@
             # The connection closes after an answer that was given while the
             # parser ran.
             raise _Rejected
+        if self._parser.should_upgrade() and not self._is_connect:
+            # The body follows, see `_feed`.
+            return
         self._reading = False
         self._first_byte_s = 0.0
         self._overhead_bytes = 0
@@ -427,7 +441,7 @@
         self._begun = False
         self._overhead_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._feed(data)
         except httptools.HttpParserUpgrade:
             self._fail()
             if not self._has_requests:
@@ -437,6 +451,44 @@
         if self._overhead_bytes and not self._failed:
             self._check_overhead()
 
+    def _feed(self, data: memoryview) -> None:
+        """Pass data to the parser, which ends a request at an upgrade offer.
+
+        A server may ignore the offer. The body then follows as usual.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                if self._is_connect:
+                    raise
+                data = data[exc.args[0] :]
+                self._replace_parser()
+            else:
+                return
+
+    @property
+    def _is_connect(self) -> bool:
+        return bool(self._parser.get_method() == _CONNECT)
+
+    def _replace_parser(self) -> None:
+        """Continue after the head with a parser that knows of no offer."""
+        lines = [self._parser.get_method() + b" / HTTP/1.1"]
+        for name, value in self._headers:
+            if name.lower() in _FRAMING_HEADERS:
+                lines.append(f"{name}: {value}".encode("latin-1"))
+        connection = http_messages.get_header(
+            tuple(self._headers), "connection"
+        )
+        if "close" in connection.lower():
+            lines.append(b"Connection: close")
+        self._parser = httptools.HttpRequestParser(self)
+        self._is_head_known = True
+        try:
+            self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+        finally:
+            self._is_head_known = False
+
     def _check_overhead(self) -> None:
         """Bound the bytes of a message that no callback reports.
 
