Bound the answer to a health check

Cause: the check read up to 64 MiB, the default of the HTTP client, six times.

Change: it reads 64 KiB. A longer answer tells nothing, like one that does not come.

--- a/features/confirmation.feature
+++ b/features/confirmation.feature
@@ -30,3 +30,4 @@
       | gone                | unknown     |
       | without a path      | unknown     |
       | beside a lost store | unknown     |
+      | sending 20 MB       | unknown     |
--- a/features/steps/confirmation_steps.py
+++ b/features/steps/confirmation_steps.py
@@ -80,6 +80,9 @@
         )
         context.add_cleanup(target.stop)
         target.state = state
+        if state == "sending 20 MB":
+            target.state = "ready"
+            target.behaviour = endpoint.Behaviour(health_bytes=20_000_000)
     announced = _effects.Announced(
         service="kvoty",
         version="v1",
--- a/src/arbutusstall/platform/health.py
+++ b/src/arbutusstall/platform/health.py
@@ -12,6 +12,7 @@
 LOG = logging.getLogger(__name__)
 
 _TIMEOUT_S = 1.0
+_ANSWER_BYTES = 64 * 1024
 _OK = 200
 _INSTANCE = "x-instance-id"
 _NOT_EXECUTED = "x-not-executed"
@@ -52,6 +53,7 @@
                     url=f"http://{target.address}{path}",
                     timeout_s=_TIMEOUT_S,
                     fresh=True,
+                    answer_bytes=_ANSWER_BYTES,
                 )
             )
         except errors.ArbutusstallError as exc:
