Remove closed connections from the fair queue

Cause: a connection that has used much time waits long in the queue, and one that was closed meanwhile stayed there with all that it refers to. Clients that come and go filled the memory.

Change: a closed flow is skipped, and the queue is rebuilt once half of it are closed. The scenario "closed connections leave the queue" names the load.

--- a/features/shared_turns.feature
+++ b/features/shared_turns.feature
@@ -33,6 +33,13 @@
     When a connection fails in its step and all turns are taken
     Then only that connection was closed, and the others have run 10 steps
 
+  # Guards against: connections that were closed stay in the queue, and fill
+  # the memory while others come and go.
+  Scenario: closed connections leave the queue
+    Given 50 connections with 1000 steps of 1 ms each, and 100 turns taken
+    When 40 of them are closed
+    Then at most 20 are in the queue, and the others go on
+
   # Guards against: 40 clients that take no answers hold 40 MB of them.
   Scenario: the largest unsent answers give way
     Given a bound of 10000000 bytes for unsent answers
--- a/features/steps/shared_turns_steps.py
+++ b/features/steps/shared_turns_steps.py
@@ -126,6 +126,29 @@
     assert sum(worker.ran for worker in context.workers) == count
 
 
+@behave.when("{count:d} of them are closed")
+def close_connections(context, count):
+    """Close the first ones while their steps are queued."""
+    context.closed, context.workers = (
+        context.workers[:count],
+        context.workers[count:],
+    )
+    for worker in context.closed:
+        worker.flow.close()
+        worker.ran = 0
+
+
+@behave.then("at most {count:d} are in the queue, and the others go on")
+def queue_is_short(context, count):
+    """Take further turns."""
+    assert len(context.loop.queue) <= count, len(context.loop.queue)
+    before = [worker.ran for worker in context.workers]
+    context.loop.take_turns(20)
+    after = [worker.ran for worker in context.workers]
+    assert all(a > b for a, b in zip(after, before, strict=True)), after
+    assert not any(worker.ran for worker in context.closed)
+
+
 @dataclasses.dataclass(eq=False)
 class _Client:
     """A client that takes no data."""
--- a/src/arbutusstall/_bounds/fair_queue.py
+++ b/src/arbutusstall/_bounds/fair_queue.py
@@ -26,11 +26,13 @@
         finish_s: Virtual time at which the last step ended.
         is_waiting: Whether a step is queued.
         is_running: Whether a step runs now.
+        is_closed: Whether no further step is done.
     """
 
     __slots__ = (
         "_queue",
         "finish_s",
+        "is_closed",
         "is_running",
         "is_waiting",
         "on_failed",
@@ -48,6 +50,7 @@
         self.finish_s = 0.0
         self.is_waiting = False
         self.is_running = False
+        self.is_closed = False
         self._queue = queue
 
     def wake(self) -> None:
@@ -61,6 +64,10 @@
         """
         self._queue.push(self)
 
+    def close(self) -> None:
+        """Do no further step; a queued one is removed."""
+        self._queue.remove(self)
+
 
 class FairQueue:
     """Runs steps of flows by start-time fair queueing.
@@ -88,13 +95,15 @@
         self._used_s = 0.0
         self._is_running = False
         self._is_scheduled = False
+        # Closed flows that are still in the heap.
+        self._closed_count = 0
 
     def __len__(self) -> int:
         return len(self._heap)
 
     def wake(self, flow: Flow) -> None:
         """Do a step of a flow now, or queue it; see `Flow.wake`."""
-        if flow.is_waiting:
+        if flow.is_waiting or flow.is_closed:
             return
         if self._heap or self._is_running or not self._has_time():
             self.push(flow)
@@ -103,13 +112,28 @@
 
     def push(self, flow: Flow) -> None:
         """Queue a step of a flow, unless one is queued or runs."""
-        if flow.is_waiting or flow.is_running:
+        if flow.is_waiting or flow.is_running or flow.is_closed:
             return
         flow.is_waiting = True
         start_s = max(self._virtual_s, flow.finish_s)
         heapq.heappush(self._heap, (start_s, next(self._numbers), flow))
         self._schedule()
 
+    def remove(self, flow: Flow) -> None:
+        """Remove a flow for good; see `Flow.close`.
+
+        It leaves the heap once half of that are closed flows, since those
+        with much work behind them would stay there for long.
+        """
+        flow.is_closed = True
+        if not flow.is_waiting:
+            return
+        self._closed_count += 1
+        if 2 * self._closed_count > len(self._heap):
+            self._heap = [item for item in self._heap if not item[2].is_closed]
+            heapq.heapify(self._heap)
+            self._closed_count = 0
+
     def _has_time(self) -> bool:
         """Return whether steps took little of the recent time."""
         now_s = self._clock()
@@ -132,6 +156,9 @@
         while self._heap and self._used_s < _TURN_S:
             start_s, _, flow = heapq.heappop(self._heap)
             flow.is_waiting = False
+            if flow.is_closed:
+                self._closed_count -= 1
+                continue
             self._virtual_s = max(self._virtual_s, start_s)
             self._run(flow)
         if self._heap:
--- a/src/arbutusstall/_proxy/frame_server.py
+++ b/src/arbutusstall/_proxy/frame_server.py
@@ -71,6 +71,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what it holds, and report the end to the owner."""
+        self._turns.close()
         self._server.connections.remove(self)
         self._server.bounds.unsent.remove(self)
         self._held.release()
--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -226,6 +226,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._failed = True
+        self._turns.close()
         self._server.connections.remove(self)
         self._server.bounds.unsent.remove(self)
         if self._bodies is not None:
