Collect bodies without moving them

Cause: a body grew in one buffer, which is copied to a larger place again and again. With many at once the places that they leave stay unused. An idle connection to a target also kept the body of its last answer, uncounted.

Change: parts are kept as they arrive and joined once. A large message or answer is written apart from its head; a frame is decoded where it is.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -77,3 +77,11 @@
       | in chunks             |
       | in chunks, in pieces  |
       | without any bytes     |
+
+  # Guards against: bodies that drip hold the budget, and each further body is
+  # refused until they end.
+  Scenario: a body is taken while others drip
+    Given a server that holds at most 1000000 bytes of bodies
+    When 3 clients send 300000 bytes of a body each, then a byte now and then
+    Then a new client's body of 300000 bytes is taken
+    And the client that began first gets 503
--- a/src/arbutusstall/_proxy/frame_server.py
+++ b/src/arbutusstall/_proxy/frame_server.py
@@ -75,7 +75,7 @@
         self._server.connections.remove(self)
         self._server.bounds.unsent.remove(self)
         self._held.release()
-        self._buffer.clear()
+        self._drop_buffer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -104,7 +104,7 @@
         """Close the connection, whose data makes room for others."""
         self._fail("no room for an incomplete message")
         self._held.release()
-        self._buffer.clear()
+        self._drop_buffer()
 
     def _step(self) -> bool:
         for _ in range(_FRAMES_PER_STEP):
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -21,6 +21,8 @@
 _TCP_USER_TIMEOUT_MS = 3_000
 # Bodies are sent in chunks, so that small messages can go between them.
 _CHUNK_BYTES = 8 * 1024
+# A larger message is written apart from its length, not copied.
+_MAX_JOINED_BYTES = 64 * 1024
 _WRITE_HIGH_WATER_BYTES = 32 * 1024
 
 
@@ -143,15 +145,15 @@
         end = _LENGTH.size + size
         if len(buffer) < end:
             return False
-        with memoryview(buffer) as view:
-            frame = bytes(view[_LENGTH.size : end])
-        del buffer[:end]
         self.message_bytes = size
         try:
-            message = messages.decode(frame, self.frame_limit)
+            message = messages.decode(
+                memoryview(buffer)[_LENGTH.size : end], self.frame_limit
+            )
         except errors.WireError as exc:
             self._fail(exc.reason)
             return False
+        del buffer[:end]
         with failures.Logged(type(message).__name__):
             self.owner.on_message(self, message)
         return True
@@ -202,7 +204,12 @@
                 f" {self._reads.unsent_bytes} bytes are unsent"
             )
             return False
-        transport.write(_LENGTH.pack(len(data)) + data)
+        length = _LENGTH.pack(len(data))
+        if len(data) > _MAX_JOINED_BYTES:
+            transport.write(length)
+            transport.write(data)
+        else:
+            transport.write(length + data)
         return True
 
     @property
@@ -211,6 +218,9 @@
         transport = self._transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
+    def _drop_buffer(self) -> None:
+        self._buffer = bytearray()
+
     def _pause_reading(self) -> None:
         if self._transport is not None:
             self._transport.pause_reading()
--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -17,6 +17,7 @@
 from arbutusstall import _settings
 from arbutusstall import errors
 from arbutusstall._proxy import background
+from arbutusstall._proxy import body_buffer
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
@@ -200,7 +201,7 @@
         """Store a part of the body within the limits of its size."""
         if self._done is None:
             return
-        self._body += body
+        self._body.append(body)
         limit = self._pool.reads.answer_bytes
         if len(self._body) > limit:
             self._give_up(f"a body of more than {limit} bytes")
@@ -223,7 +224,7 @@
         response = http_messages.Response(
             status=self._parser.get_status_code(),
             headers=tuple(self._headers),
-            body=bytes(self._body),
+            body=self._body.take(),
         )
         accepts = self._accepts
         if accepts is None or not accepts(response):
@@ -305,7 +306,7 @@
 
     def _start_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._reservation.release()
         self._head_done = False
 
--- a/src/arbutusstall/_proxy/http_connection.py
+++ b/src/arbutusstall/_proxy/http_connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from arbutusstall._bounds import fair_queue
+from arbutusstall._proxy import body_buffer
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
@@ -38,6 +39,8 @@
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 # The separators of a head whose names and values have the maximum size.
 _HEAD_OVERHEAD_FACTOR = 2
+# The body of a larger answer is written apart from its head, not copied.
+_MAX_JOINED_BYTES = 65_536
 _NO_DATA = memoryview(b"")
 _CONNECT = b"CONNECT"
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
@@ -311,7 +314,7 @@
             self._stop_parser(_BODY_TOO_LARGE)
         if not self._reserve_body(len(body)):
             self._stop_parser(_UNAVAILABLE, _RETRY_AFTER)
-        self._body += body
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         if self._failed:
@@ -328,7 +331,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=bytes(self._body),
+            body=self._body.take(),
             peer=self._peer,
         )
         exchange = Exchange(self, request, self._head_reserved)
@@ -353,12 +356,8 @@
         close = not self._keep_alive or (
             not more and (self._server.closing or self._failed)
         )
-        self._write(
-            http_messages.encode_response(
-                response,
-                close=close,
-                head_only=exchange.request.method == "HEAD",
-            )
+        self._write_response(
+            response, close=close, head_only=exchange.request.method == "HEAD"
         )
         self._last_activity_s = self._server.loop.time()
         self._heads.release_part(exchange.head_bytes)
@@ -427,14 +426,14 @@
     def _start_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
         self._head_done = False
 
     def _drop_message(self) -> None:
         """Release the parts of a message that is complete or rejected."""
         self._headers = []
-        self._body = bytearray()
+        self._body.clear()
         self._head_done = False
 
     def _parse(self, data: memoryview) -> None:
@@ -660,6 +659,17 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _write_response(
+        self, response: http_messages.Response, *, close: bool, head_only: bool
+    ) -> None:
+        is_large = len(response.body) > _MAX_JOINED_BYTES
+        data = http_messages.encode_response(
+            response, close=close, head_only=head_only or is_large
+        )
+        self._write(data)
+        if is_large and not head_only:
+            self._write(response.body)
+
     def _write(self, data: bytes) -> None:
         if self._transport is None:
             return
--- a/src/arbutusstall/_wire/messages.py
+++ b/src/arbutusstall/_wire/messages.py
@@ -206,7 +206,9 @@
     return _ENCODER.encode((_COMPRESSED_KIND, zlib.compress(data, level=1)))
 
 
-def decode(data: bytes, max_bytes: int = _MAX_DECOMPRESSED_BYTES) -> Message:
+def decode(
+    data: bytes | memoryview, max_bytes: int = _MAX_DECOMPRESSED_BYTES
+) -> Message:
     """Return the message encoded in ``data``.
 
     Args:
