Raise the limit of messages on open connections

What callers would see: after a configuration that allows larger heads, a call with one ends the open connection between two nodes, with all calls on it.

Cause: the limit was read when a connection began.

Change: it is read for each message.

--- a/features/calls_bodies.feature
+++ b/features/calls_bodies.feature
@@ -73,3 +73,10 @@
     When 40 calls with 3000 header lines arrive at once
     Then some are answered, the others refused with "no room for the head"
     And nothing is held for them any more
+
+  # Guards against: a connection that is open keeps the limit of messages from
+  # before a configuration, and calls with larger heads end it.
+  Scenario: larger heads that become legal arrive on an open connection
+    Given two nodes and a target for uploads
+    When a call arrives, heads of 200000 bytes are allowed, and a call with a head of 400000 bytes arrives
+    Then both are answered by the target
--- a/features/steps/bodies_steps.py
+++ b/features/steps/bodies_steps.py
@@ -23,6 +23,7 @@
 from arbutusstall._proxy import streams
 from arbutusstall._shell import events
 from arbutusstall._systems import transfers
+from arbutusstall._tables import agreed
 from arbutusstall._tables import members
 from arbutusstall._wire import messages
 from arbutusstall.platform import dialect
@@ -192,8 +193,10 @@
             self.receiver,
         )
         self.address = f"127.0.0.1:{node_port}"
-        server = frame_server.FrameServer(self.address, acceptor.owner, _READS)
-        await server.start()
+        self.server = frame_server.FrameServer(
+            self.address, acceptor.owner, _READS
+        )
+        await self.server.start()
         self.peers = peers.Peers("other", self.inbound, _READS)
         self.peer = self.peers.get(
             members.Member(
@@ -257,6 +260,29 @@
     context.answers = _run(context, work)
 
 
+@behave.when(
+    "a call arrives, heads of {limit:d} bytes are allowed,"
+    " and a call with a head of {size:d} bytes arrives"
+)
+def allow_larger_heads(context, limit, size):
+    """Send both calls over one connection."""
+
+    async def work(nodes):
+        first = await nodes.send("small", b"")
+        nodes.server.limits = agreed.CallerLimits(header_bytes=limit)
+        headers = (("X-Request-Id", "large"), ("X-Large", "x" * size))
+        return first, await nodes.send("large", b"", headers=headers)
+
+    context.answers = _run(context, work)
+
+
+@behave.then("both are answered by the target")
+def both_answered(context):
+    """Check the statuses."""
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200, 200], context.answers
+
+
 @behave.when("{count:d} calls with {lines:d} header lines arrive at once")
 def send_heads(context, count, lines):
     """Send them over one connection; each is legal alone."""
--- a/src/arbutusstall/_proxy/frame_server.py
+++ b/src/arbutusstall/_proxy/frame_server.py
@@ -32,8 +32,8 @@
     ) -> None:
         super().__init__(owner, reads)
         self.owner: frames.AcceptingOwner = owner
-        self.frame_limit = server.first_frame_limit
         self._server = server
+        self._is_admitted = False
         self._held = byte_budget.Reservation(server.bounds.heads)
         self._began_s = 0.0
         self._turns = fair_queue.Flow(
@@ -60,9 +60,16 @@
         """Loop time at which the first byte not decoded arrived."""
         return self._began_s
 
+    @property
+    def frame_limit(self) -> int:
+        """Maximum size of a message in bytes, also decompressed."""
+        if self._is_admitted:
+            return self._reads.frame_bytes
+        return self._server.first_frame_limit
+
     def admit(self) -> None:
         """Accept messages of any size that other nodes send."""
-        self.frame_limit = self._reads.frame_bytes
+        self._is_admitted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection; see `frames.FrameConnection`."""
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -57,7 +57,6 @@
         on_connected: Called once the connection is open.
 
     Attributes:
-        frame_limit: Maximum size of a message, also decompressed.
         message_bytes: Size of the message that the owner got last.
         last_received_s: Loop time at which data was last received.
         owner: Receives the messages; may be replaced.
@@ -72,7 +71,6 @@
         super().__init__()
         self.owner = owner
         self._reads = reads
-        self.frame_limit = reads.frame_bytes
         self.message_bytes = 0
         self.last_received_s = asyncio.get_running_loop().time()
         self._on_connected = on_connected
@@ -83,6 +81,11 @@
         )
         self._paused = False
 
+    @property
+    def frame_limit(self) -> int:
+        """Maximum size of a message in bytes, also decompressed."""
+        return self._reads.frame_bytes
+
     @property
     def is_open(self) -> bool:
         """Whether messages can be sent."""
