Free closed connections without the collector

Cause: a connection and its flow refer to each other since the fair queue, so that a closed one was kept until the garbage collector ran.

Change: a closed flow forgets its connection. "closed connections leave the queue" checks it; the step failed before.

--- a/features/shared_turns.feature
+++ b/features/shared_turns.feature
@@ -39,6 +39,7 @@
     Given 50 connections with 1000 steps of 1 ms each, and 100 turns taken
     When 40 of them are closed
     Then at most 20 are in the queue, and the others go on
+    And nothing refers to those that were closed
 
   # Guards against: 40 clients that take no answers hold 40 MB of them.
   Scenario: the largest unsent answers give way
--- a/features/steps/shared_turns_steps.py
+++ b/features/steps/shared_turns_steps.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import gc
+import weakref
 
 import behave
 
@@ -149,6 +151,19 @@
     assert not any(worker.ran for worker in context.closed)
 
 
+@behave.then("nothing refers to those that were closed")
+def closed_are_freed(context):
+    """Check it without a run of the garbage collector."""
+    worker = weakref.ref(context.closed[0])
+    context.loop.runs.clear()
+    gc.disable()
+    try:
+        context.closed = None
+        assert worker() is None
+    finally:
+        gc.enable()
+
+
 @dataclasses.dataclass(eq=False)
 class _Client:
     """A client that takes no data."""
--- a/src/arbutusstall/_bounds/fair_queue.py
+++ b/src/arbutusstall/_bounds/fair_queue.py
@@ -126,6 +126,9 @@
         with much work behind them would stay there for long.
         """
         flow.is_closed = True
+        # Both refer to the connection, which is freed at once without them.
+        flow.step = _no_step
+        flow.on_failed = _do_nothing
         if not flow.is_waiting:
             return
         self._closed_count += 1
@@ -180,3 +183,11 @@
         flow.finish_s = max(self._virtual_s, flow.finish_s) + taken_s
         if more:
             self.push(flow)
+
+
+def _no_step() -> bool:
+    return False
+
+
+def _do_nothing() -> None:
+    pass
