Return large blocks of memory when they are freed

Cause: once a block of some MB was freed, glibc takes blocks of that size from its heap, where they leave gaps. And answers that nobody took could hold an eighth of the memory beside bodies, heads and frames.

--- a/src/arbutusstall/_cli/node.py
+++ b/src/arbutusstall/_cli/node.py
@@ -9,6 +9,7 @@
 from arbutusstall import _settings
 from arbutusstall import _settings_files
 from arbutusstall import errors
+from arbutusstall._bounds import allocator
 from arbutusstall._cli import program
 from arbutusstall._shell import events
 from arbutusstall._shell import node
@@ -61,6 +62,7 @@
         if settings is None:
             return program.EXIT_REFUSED
         events.configure(settings.log_level)
+        allocator.return_large_blocks()
         node.Node(settings).run()
         return program.EXIT_OK
 
--- a/src/arbutusstall/_proxy/request_limits.py
+++ b/src/arbutusstall/_proxy/request_limits.py
@@ -32,6 +32,8 @@
 # for other nodes, may have.
 _CONTROL_PART = 16
 _PEER_FRACTION = 2
+# Part of the budget of heads that unsent answers may take, or one answer.
+_UNSENT_FRACTION = 2
 _DEFAULT_UNSENT_BYTES = 32 * 1024 * 1024
 # Part of the connections that may be without any complete request before
 # they, rather than idle ones, give way to new connections.
@@ -78,8 +80,11 @@
         self.bodies = byte_budget.ByteBudget(reads.held_bytes)
         self._reads = reads
         self._turns = fair_queue.FairQueue()
+        unsent_bytes = max(
+            reads.head_bytes // _UNSENT_FRACTION, reads.answer_bytes
+        )
         self._unsent: unsent_data.UnsentData[unsent_data.Writer] = (
-            unsent_data.UnsentData(max(reads.head_bytes, reads.answer_bytes))
+            unsent_data.UnsentData(unsent_bytes)
         )
 
     def callers(self) -> ServerBounds:
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -280,8 +280,8 @@
         held_bytes: Maximum total size of the bodies that the process
             reads or forwards at the same time.
         head_bytes: Maximum memory that clients' request heads take at the
-            same time, and as much each for frames of other nodes and for
-            answers that clients have not taken.
+            same time, as much for frames of other nodes, and half of it
+            for answers that clients have not taken.
         client_connections: Maximum number of clients' connections; other
             nodes may have half as many.
         bodies: Maximum number of bodies that other nodes send here at
--- a/src/arbutusstall/platform/main.py
+++ b/src/arbutusstall/platform/main.py
@@ -7,6 +7,7 @@
 import sys
 
 from arbutusstall import errors
+from arbutusstall._bounds import allocator
 from arbutusstall._proxy import event_loop
 from arbutusstall._proxy import http_server
 from arbutusstall._proxy import log_output
@@ -37,6 +38,7 @@
     except errors.InvalidFile as exc:
         print(f"{exc.peer}: {exc.reason}", file=sys.stderr)
         return _EXIT_INVALID_SETTINGS
+    allocator.return_large_blocks()
     with asyncio.Runner(loop_factory=event_loop.SteadyEventLoop) as runner:
         runner.run(_run(settings, pathlib.Path(name)))
     return 0
