Test that complete bodies keep their place

The scenario "callers' bodies over the bound are refused before they run" held the budget by an incomplete body and expected the complete one of another caller to be refused.

Replaced by two: the budget is held by a complete request without an answer, and the other body gets 503 with a Retry-After, has not run, and is served after the first has disconnected, as before; and an incomplete body gets the 503 with a Retry-After and has not run, while the complete one is served.

--- a/features/reads.feature
+++ b/features/reads.feature
@@ -46,11 +46,18 @@
 
   Scenario: callers' bodies over the bound are refused before they run
     Given a server for callers that holds at most 100000 bytes of bodies
-    When a caller sends 60000 bytes of a body and waits
+    When a caller sends a complete body of 60000 bytes and gets no answer yet
     And another caller sends a complete body of 60000 bytes
     Then the other one gets 503 with a Retry-After and its request has not run
     And it is served once the first one has disconnected
 
+  Scenario: an incomplete body over the bound is refused for a complete one
+    Given a server for callers that holds at most 100000 bytes of bodies
+    When a caller sends 60000 bytes of a body and waits
+    And another caller sends a complete body of 60000 bytes
+    Then the other one is served
+    And the first one gets 503 with a Retry-After and its request has not run
+
   Scenario Outline: a store's answer without end is given up
     Given a target that sends <what> without end
     When the store client reads from it
