--- a/src/arbutusstall/_proxy/frame_server.py
+++ b/src/arbutusstall/_proxy/frame_server.py
@@ -115,7 +115,7 @@
 
     def _step(self) -> bool:
         for _ in range(_FRAMES_PER_STEP):
-            if not self._process_frame():
+            if not self.is_open or not self._process_frame():
                 self._count_held()
                 return False
             self._server.connections.begin_request(self)
--- a/src/arbutusstall/_proxy/frames.py
+++ b/src/arbutusstall/_proxy/frames.py
@@ -136,7 +136,7 @@
             Whether there was one.
         """
         buffer = self._buffer
-        if len(buffer) < _LENGTH.size or not self.is_open:
+        if len(buffer) < _LENGTH.size:
             return False
         (size,) = _LENGTH.unpack_from(buffer)
         if size > self.frame_limit:
