Share the senders and the call of the crowds

The table of all kinds stood in two step modules, and a call between nodes was built again that tests/calls.py has.

--- a/features/steps/client_limits_steps.py
+++ b/features/steps/client_limits_steps.py
@@ -21,10 +21,7 @@
 _CHANGE_COUNT = 2
 _BLOCK = 64 * 1024
 _SMALL_LIMITS = "maxFds = 300\nmemoryMb = 100"
-_SENDERS_BY_KIND = {
-    **crowds.SENDERS_BY_KIND,
-    **frame_crowds.SENDERS_BY_KIND,
-}
+_SENDERS_BY_KIND = frame_crowds.ALL_SENDERS_BY_KIND
 
 
 def _address(node, name):
--- a/features/steps/client_limits_threads_steps.py
+++ b/features/steps/client_limits_threads_steps.py
@@ -19,10 +19,7 @@
     "head_bytes": 12_500_000,
     "client_connections": 150,
 }
-_SENDERS_BY_KIND = {
-    **crowds.SENDERS_BY_KIND,
-    **frame_crowds.SENDERS_BY_KIND,
-}
+_SENDERS_BY_KIND = frame_crowds.ALL_SENDERS_BY_KIND
 
 
 def _address(running, name):
--- a/tests/frame_crowds.py
+++ b/tests/frame_crowds.py
@@ -6,6 +6,7 @@
 import time
 import zlib
 
+import calls
 import crowds
 import msgspec
 
@@ -30,16 +31,12 @@
     body: bytes = b"",
     body_bytes: int = 0,
 ) -> messages.CallRequest:
-    return messages.CallRequest(
+    return calls.booking(
         call_id=call_id,
         request_id=call_id,
         incarnation=0,
-        sent_ms=0,
-        service="kvoty",
-        version="v1",
         route="/x/",
         method="GET",
-        path="/x/1",
         headers=headers,
         body=body,
         deadline_ms=1_500,
@@ -121,3 +118,8 @@
     "parts of bodies of no call": _send_unknown_parts,
     "calls whose bodies never come": _announce_bodies,
 }
+
+ALL_SENDERS_BY_KIND: dict[str, crowds.Sender] = {
+    **crowds.SENDERS_BY_KIND,
+    **SENDERS_BY_KIND,
+}
