Report how old the news of the source is

Heartbeats now carry the time since the source is known to have had nothing newer (news_age_s). It grows wherever the path is blocked. Nodes log source-news-late and source-news-regained with the age and the parent, and have a gauge, arbutusstall_source_news_age_seconds.

Takes effect where a deployment bounds the time until a configuration is in force (relay.apply_s, the platform's configApply). Roots have news each 0.4 of that bound, so a read waits 0.8 s of 2 rather than 2.5 s, less the pause before it.

--- a/src/arbutusstall/_core.py
+++ b/src/arbutusstall/_core.py
@@ -9,6 +9,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall._evacuation import decisions as evacuations
+from arbutusstall._staleness import decisions as staleness
 from arbutusstall._systems import absences
 from arbutusstall._systems import agreement
 from arbutusstall._systems import checkpoint
@@ -64,6 +65,7 @@
     "log reset": log_reset.run,
     "root claims": root_claims.run,
     "key evidence": freshness.run,
+    "source news": staleness.run,
     "tree": tree.run,
     "liveness": liveness.run,
     "membership": membership.run,
@@ -97,6 +99,7 @@
     _effects.LogRead: tree.on_log_read,
     _effects.LogFailed: tree.on_log_failed,
     _effects.Left: tree.on_left,
+    _effects.SourceConfirmed: staleness.on_source_confirmed,
 }
 
 
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -237,10 +237,13 @@
 
     Attributes:
         sent_s: Monotonic time at which the request was sent.
+        checked_s: Time by which the source still had published nothing
+            more; not before ``sent_s``.
         era: Era of the store that answered; 0 if it reported none.
     """
 
     sent_s: float
+    checked_s: float = 0.0
     era: int = 0
 
 
--- a/src/arbutusstall/_log/pacing.py
+++ b/src/arbutusstall/_log/pacing.py
@@ -60,3 +60,25 @@
         minimum interval.
     """
     return max(0.0, began_s + settings.read_gap_s - now_s)
+
+
+def read_wait_s(
+    settings: _settings.LogSettings, poll_s: float, pause_s: float
+) -> float:
+    """Return how long the next read waits for something new.
+
+    The pause before the read is part of ``poll_s``, so that the time
+    between two answers does not exceed it.
+
+    Args:
+        settings: Supplies the minimum interval between reads.
+        poll_s: Maximum time between two answers, in seconds.
+        pause_s: Time since the last answer, in seconds.
+
+    Returns:
+        Time in seconds. It is ``poll_s`` itself if that is below the
+        minimum interval, since no wait would be left.
+    """
+    if poll_s <= settings.read_gap_s:
+        return poll_s
+    return poll_s - pause_s
--- a/src/arbutusstall/_proxy/node.py
+++ b/src/arbutusstall/_proxy/node.py
@@ -33,6 +33,7 @@
 from arbutusstall._proxy import target_health
 from arbutusstall._shell import events
 from arbutusstall._shell import log_worker
+from arbutusstall._staleness import decisions as staleness
 from arbutusstall._systems import announcements
 from arbutusstall._systems import confirmation
 from arbutusstall._tenants import freshness
@@ -130,7 +131,7 @@
             environment.source,
             settings.log,
             self._control.put_from_thread,
-            freshness.poll_s(settings),
+            min(freshness.poll_s(settings), staleness.poll_s(settings)),
         )
         self._caller_server = http_server.HttpServer(
             settings.addresses.callers,
--- a/src/arbutusstall/_proxy/source_worker.py
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -84,12 +84,15 @@
         failed = 0
         position: int | None = None
         era = 0
+        pause_s = 0.0
         while not stop.is_set():
             began_s = _clock.steady_s()
+            wait_s = pacing.read_wait_s(self._settings, self._poll_s, pause_s)
             try:
-                read = self._read_from(position, self._poll_s)
+                read = self._read_from(position, wait_s)
             except errors.LogUnavailable as exc:
                 position = None
+                pause_s = 0.0
                 if not failed:
                     self._report_availability(
                         available=False, reason=exc.reason
@@ -108,11 +111,13 @@
                 # What the position stood for in the earlier era is gone.
                 position = None
                 continue
+            waited_s = wait_s if position is not None else 0.0
             position = read.position
-            self._put_all(read, with_orders=True)
-            stop.wait(
-                pacing.read_pause_s(self._settings, began_s, _clock.steady_s())
+            self._put_all(read, waited_s, with_orders=True)
+            pause_s = pacing.read_pause_s(
+                self._settings, began_s, _clock.steady_s()
             )
+            stop.wait(pause_s)
 
     def _read_single(self) -> None:
         try:
@@ -129,11 +134,13 @@
                 return
             self._single_position = read.position
             # Orders are for the nodes that follow the source.
-            self._put_all(read, with_orders=False)
+            self._put_all(read, 0.0, with_orders=False)
         finally:
             self._is_single_running = False
 
-    def _put_all(self, read: sources.SourceRead, with_orders: bool) -> None:
+    def _put_all(
+        self, read: sources.SourceRead, wait_s: float, *, with_orders: bool
+    ) -> None:
         # A node serves once it has a configuration, so it learns of the
         # evacuations before.
         if read.evacuations is not None:
@@ -143,7 +150,13 @@
                 self._put(event)
         if read.sent_s is not None:
             self._put(
-                _effects.SourceConfirmed(sent_s=read.sent_s, era=read.era)
+                _effects.SourceConfirmed(
+                    sent_s=read.sent_s,
+                    # The source answers no later than after the wait, however
+                    # long the answer took to arrive.
+                    checked_s=min(read.sent_s + wait_s, _clock.steady_s()),
+                    era=read.era,
+                )
             )
 
     def _read_from(
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -128,6 +128,9 @@
             second.
         detached_readers: Maximum size of a data centre in which each
             node without a parent reads the log itself.
+        apply_s: Time within which a configuration of an external source
+            has to be in force at each node that reaches the source; 0 if
+            there is no such bound.
         retry_base_s: Initial backoff between attempts to join the tree.
         retry_cap_s: Maximum backoff between attempts to join the tree.
     """
@@ -144,6 +147,7 @@
     join_rate: float = 20.0
     rows_per_s: float = 100.0
     detached_readers: int = 0
+    apply_s: float = 0.0
     retry_base_s: float = 0.2
     retry_cap_s: float = 10.0
 
--- a/src/arbutusstall/_shell/control_metrics.py
+++ b/src/arbutusstall/_shell/control_metrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 
 from arbutusstall import _clock
+from arbutusstall._staleness import decisions as staleness
 from arbutusstall._systems import progress
 from arbutusstall._tables import links
 from arbutusstall._tables import members
@@ -45,6 +46,11 @@
     "arbutusstall_key_evidence_age_seconds",
     "Age of the evidence that no API key was removed; infinite without any.",
 )
+NEWS_AGE = prometheus_client.Gauge(
+    "arbutusstall_source_news_age_seconds",
+    "Time since the external source is known to have had nothing newer than"
+    " the configuration in force; infinite if that is unknown.",
+)
 
 
 def refresh(tables: node.Tables) -> None:
@@ -67,4 +73,6 @@
         progress.mesh(tables) if tables.is_root else progress.summary(tables)
     )
     LACKING.set(report.known - report.in_force)
-    EVIDENCE_AGE.set(freshness.age_s(tables.evidence, _clock.steady_s()))
+    now_s = _clock.steady_s()
+    EVIDENCE_AGE.set(freshness.age_s(tables.evidence, now_s))
+    NEWS_AGE.set(staleness.age_s(tables.news, now_s))
--- /dev/null
+++ b/src/arbutusstall/_staleness/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds how long a node is without news of the external source."""
--- /dev/null
+++ b/src/arbutusstall/_staleness/decisions.py
@@ -0,0 +1,134 @@
+"""Passes on how old the news of the source is.
+
+A read of the source proves that nothing newer existed when it was
+answered. Heartbeats carry the age of that proof from the roots to all
+nodes. It grows at every node wherever the path to the source is blocked:
+at the source, on a link that has gone silent, or at a node that stands
+still.
+"""
+
+import math
+
+import msgspec
+
+from arbutusstall import _clock
+from arbutusstall import _effects
+from arbutusstall import _settings
+from arbutusstall._staleness import news
+from arbutusstall._tables import links
+from arbutusstall._tables import node
+from arbutusstall._tables import versions
+from arbutusstall._wire import messages
+
+# Fractions of the time within which a configuration has to be in force.
+# Roots have news this often, also if nothing changes.
+_POLL = 0.4
+# News is older than that by a tick for each level of the tree.
+_MAX_AGE = 0.7
+# Newer news is passed on at once; a smaller gain waits for a heartbeat.
+_MIN_GAIN = 0.2
+
+
+def poll_s(settings: _settings.NodeSettings) -> float:
+    """Return how long a read of the source waits for something new."""
+    bound_s = settings.relay.apply_s
+    if not bound_s:
+        return settings.log.poll_s
+    return min(settings.log.poll_s, bound_s * _POLL)
+
+
+def on_source_confirmed(
+    tables: node.Tables,
+    event: _effects.SourceConfirmed,
+    now: _clock.Instant,
+) -> list[_effects.Effect]:
+    """Use a read of the source as news."""
+    _adopt(tables, event.checked_s, now)
+    return []
+
+
+def on_heartbeat(
+    tables: node.Tables,
+    link: links.Link,
+    message: messages.Heartbeat,
+    now: _clock.Instant,
+) -> None:
+    """Use the news of a parent or of another root.
+
+    News about a configuration that is not in force here yet is ignored.
+    A peer that reports no age is trusted as long as it sends heartbeats.
+    """
+    if link.role is links.LinkRole.CHILD:
+        return
+    source = versions.source_part(message.version)
+    if source > tables.snapshot.source_version:
+        return
+    age_s = message.news_age_s
+    if age_s is msgspec.UNSET:
+        age_s = 0.0
+    if 0.0 <= age_s <= now.mono_s:
+        _adopt(tables, now.mono_s - age_s, now)
+
+
+def reported_age_s(
+    tables: node.Tables, now: _clock.Instant
+) -> float | msgspec.UnsetType:
+    """Return the age that heartbeats carry; unset without a bound."""
+    if not tables.settings.relay.apply_s:
+        return msgspec.UNSET
+    return age_s(tables.news, now.mono_s)
+
+
+def age_s(state: news.SourceNews, now_s: float) -> float:
+    """Return the age of the news; infinite if there was none."""
+    if state.checked_s is None:
+        return math.inf
+    return now_s - state.checked_s
+
+
+def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    """Report when the news becomes too old, and when it no longer is."""
+    bound_s = tables.settings.relay.apply_s
+    if not bound_s or not tables.snapshot.version or tables.relay.leaving:
+        return []
+    state = tables.news
+    if state.checked_s is None:
+        # Peers are expected to report an age soon.
+        state.checked_s = now.mono_s
+    return _report(tables, now)
+
+
+def _adopt(tables: node.Tables, checked_s: float, now: _clock.Instant) -> None:
+    state = tables.news
+    if state.checked_s is not None and checked_s <= state.checked_s:
+        return
+    state.checked_s = checked_s
+    gain_s = checked_s - state.announced_s
+    if gain_s >= tables.settings.relay.apply_s * _MIN_GAIN:
+        state.announced_s = checked_s
+        tables.relay.next_heartbeat_s = min(
+            tables.relay.next_heartbeat_s, now.mono_s
+        )
+
+
+def _report(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
+    state = tables.news
+    found_s = age_s(state, now.mono_s)
+    is_late = found_s > tables.settings.relay.apply_s * _MAX_AGE
+    if is_late == state.is_late:
+        return []
+    state.is_late = is_late
+    parent = next(
+        (
+            link.peer
+            for link in tables.links_by_peer.values()
+            if link.role is links.LinkRole.PARENT
+        ),
+        "-",
+    )
+    return [
+        _effects.Emit(
+            event="source-news-late" if is_late else "source-news-regained",
+            fields={"age_s": round(found_s, 3), "parent": parent},
+        )
+    ]
--- /dev/null
+++ b/src/arbutusstall/_staleness/news.py
@@ -0,0 +1,20 @@
+"""What a node knows about the age of its configuration."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class SourceNews:
+    """The newest news of the external source; monotonic times in seconds.
+
+    Attributes:
+        checked_s: Latest time at which the source is known to have had
+            nothing newer than what is in force here; None if unknown.
+        announced_s: ``checked_s`` when the children last got a heartbeat
+            because of it.
+        is_late: Whether the news was too old in the last run.
+    """
+
+    checked_s: float | None = None
+    announced_s: float = 0.0
+    is_late: bool = False
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -8,6 +8,7 @@
 
 from arbutusstall import _clock
 from arbutusstall import _effects
+from arbutusstall._staleness import decisions as staleness
 from arbutusstall._systems import admit
 from arbutusstall._systems import attach
 from arbutusstall._systems import distribution
@@ -192,6 +193,7 @@
         label=message.label,
         reads_source=message.reads_source,
     )
+    staleness.on_heartbeat(tables, link, message, now)
     effects = freshness.on_heartbeat(tables, peer, message, now)
     if link.role is links.LinkRole.PARENT:
         effects += _set_attached(tables, message.attached, now)
@@ -346,7 +348,7 @@
         return []
     state.attached = attached
     state.detached_since_s = now.mono_s
-    heartbeat = _make_heartbeat(tables)
+    heartbeat = _make_heartbeat(tables, now)
     return _send_to_children(tables, heartbeat)
 
 
@@ -400,7 +402,7 @@
         or state.heartbeat_count % _SLOW_HEARTBEAT_INTERVAL == 0
     )
     state.heartbeat_all = False
-    heartbeat = _make_heartbeat(tables)
+    heartbeat = _make_heartbeat(tables, now)
     return [
         _effects.Send(
             peer=link.peer,
@@ -411,13 +413,16 @@
     ]
 
 
-def _make_heartbeat(tables: node.Tables) -> messages.Heartbeat:
+def _make_heartbeat(
+    tables: node.Tables, now: _clock.Instant
+) -> messages.Heartbeat:
     return messages.Heartbeat(
         attached=tables.relay.attached and not _is_cut_off_from_source(tables),
         label=max(tables.relay.label, relay.ROOT_LABEL),
         version=tables.snapshot.version,
         members=rows.checksum(tables),
         reads_source=tables.is_root and not tables.relay.source_lost,
+        news_age_s=staleness.reported_age_s(tables, now),
         evacuations=tables.evacuations.if_known,
     )
 
--- a/src/arbutusstall/_tables/node.py
+++ b/src/arbutusstall/_tables/node.py
@@ -8,6 +8,7 @@
 from arbutusstall._evacuation import register
 from arbutusstall._log import follower as log_follower
 from arbutusstall._log import records
+from arbutusstall._staleness import news as news_tables
 from arbutusstall._tables import agreed as agreed_tables
 from arbutusstall._tables import comparisons
 from arbutusstall._tables import evidence as evidence_tables
@@ -163,6 +164,9 @@
     evidence: evidence_tables.EvidenceTable = dataclasses.field(
         default_factory=evidence_tables.EvidenceTable
     )
+    news: news_tables.SourceNews = dataclasses.field(
+        default_factory=news_tables.SourceNews
+    )
     evacuations: register.Register = register.Register()
     snapshots_by_version: collections.OrderedDict[
         int, agreed_tables.Snapshot
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -103,6 +103,10 @@
         age_s: Age of the sender's evidence that ``version`` is the
             source's newest when that reading arrived; negative if the
             evidence is newer.
+        news_age_s: Seconds since the external source was last known to
+            have nothing newer than ``version``; infinite if that is
+            unknown. It is left out unless the time within which a
+            configuration has to be in force has a bound.
         evacuations: As in `Hello`.
 
     The clocks and the age are left out unless the use of revoked API keys
@@ -117,6 +121,7 @@
     clock_s: float | msgspec.UnsetType = msgspec.UNSET
     stamp_s: float | msgspec.UnsetType = msgspec.UNSET
     age_s: float | msgspec.UnsetType = msgspec.UNSET
+    news_age_s: float | msgspec.UnsetType = msgspec.UNSET
     evacuations: register.OptionalRegister = msgspec.UNSET
 
 
--- a/src/arbutusstall/platform/settings.py
+++ b/src/arbutusstall/platform/settings.py
@@ -189,6 +189,7 @@
             forget_s=20.0,
             retry_cap_s=1.0,
             detached_readers=64,
+            apply_s=durations.seconds(bounds.get("configApply", "0ms")),
         ),
         rollout=_settings.RolloutSettings(watch_s=2.0),
         reads=_read_settings(file.limits),
--- a/tests/source_fleet.py
+++ b/tests/source_fleet.py
@@ -15,9 +15,9 @@
 from arbutusstall import protocols
 from arbutusstall import settings as node_settings
 from arbutusstall._log import pacing
+from arbutusstall._staleness import decisions as staleness
 from arbutusstall._tables import agreed
 from arbutusstall._tables import versions
-from arbutusstall._tenants import freshness
 from arbutusstall.platform import settings as platform_settings
 
 # The shortest bound that a deployment of the users sets.
@@ -51,6 +51,7 @@
     Attributes:
         position: Newest version that the reader knows; None to read all.
         failures: Earlier reads in a row that failed.
+        pause_s: Time between the last answer and this read.
         is_single: Whether no other read follows it.
     """
 
@@ -59,6 +60,7 @@
     began_s: float
     position: int | None
     failures: int = 0
+    pause_s: float = 0.0
     is_single: bool = False
 
 
@@ -158,7 +160,9 @@
         settings = read.core.tables.settings
         wait_s = 0.0
         if read.position is not None:
-            wait_s = freshness.poll_s(settings)
+            wait_s = pacing.read_wait_s(
+                settings.log, staleness.poll_s(settings), read.pause_s
+            )
         waited_s = self.now_s - read.began_s
         if self._is_unanswered(read):
             if waited_s >= wait_s + settings.log.request_timeout_s:
@@ -177,7 +181,12 @@
         newest = self._newest
         if newest > (read.position or 0):
             self.put(read.name, _published(newest))
-        self.put(read.name, protocols.SourceConfirmed(sent_s=read.began_s))
+        self.put(
+            read.name,
+            protocols.SourceConfirmed(
+                sent_s=read.began_s, checked_s=self.now_s
+            ),
+        )
         if read.is_single:
             return
         settings = read.core.tables.settings.log
@@ -199,7 +208,9 @@
         self, read: Read, pause_s: float, **changes: int | None
     ) -> None:
         began_s = self.now_s + pause_s
-        read = dataclasses.replace(read, began_s=began_s, **changes)
+        read = dataclasses.replace(
+            read, began_s=began_s, pause_s=pause_s, **changes
+        )
         self.after(pause_s, lambda: self._send_read(read))
 
     @property
