Read the source when news of it is overdue

Callers saw a configuration that had been acknowledged missing for up to 4.6 s (bound 2 to 2.5) at nodes that reached the store the whole time.

Cause: a node learned that its path to the source was blocked from its next neighbour only. A root whose reads are refused relies on the other roots and noticed their silence after 4.5 s; a child noticed that of its parent after 1.5 s, and the times of several levels add up.

Now every node knows the age of its news end to end. If it exceeds 0.7 of the bound, the node reads the source once, with backoff, unless its own reader retries already. Roots send each heartbeat to the other roots.

In calm only roots read the source.

--- a/src/arbutusstall/_staleness/decisions.py
+++ b/src/arbutusstall/_staleness/decisions.py
@@ -1,10 +1,10 @@
-"""Passes on how old the news of the source is.
+"""Passes on how old the news of the source is, and renews old news.
 
 A read of the source proves that nothing newer existed when it was
 answered. Heartbeats carry the age of that proof from the roots to all
 nodes. It grows at every node wherever the path to the source is blocked:
 at the source, on a link that has gone silent, or at a node that stands
-still.
+still. A node that has had no news for too long reads the source itself.
 """
 
 import math
@@ -15,6 +15,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall._staleness import news
+from arbutusstall._systems import admit
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import versions
@@ -23,10 +24,14 @@
 # Fractions of the time within which a configuration has to be in force.
 # Roots have news this often, also if nothing changes.
 _POLL = 0.4
-# News is older than that by a tick for each level of the tree.
+# News is older than that by a tick for each level of the tree. A read and
+# its distribution take the rest of the time.
 _MAX_AGE = 0.7
 # Newer news is passed on at once; a smaller gain waits for a heartbeat.
 _MIN_GAIN = 0.2
+_RETRY = 0.25
+_MAX_RETRY = 1.0
+_MAX_RETRY_EXPONENT = 4
 
 
 def poll_s(settings: _settings.NodeSettings) -> float:
@@ -87,7 +92,7 @@
 
 
 def run(tables: node.Tables, now: _clock.Instant) -> list[_effects.Effect]:
-    """Report when the news becomes too old, and when it no longer is."""
+    """Report changes; read the source if the news has become too old."""
     bound_s = tables.settings.relay.apply_s
     if not bound_s or not tables.snapshot.version or tables.relay.leaving:
         return []
@@ -95,7 +100,16 @@
     if state.checked_s is None:
         # Peers are expected to report an age soon.
         state.checked_s = now.mono_s
-    return _report(tables, now)
+    effects = _report(tables, now)
+    if not state.is_late or now.mono_s < state.next_read_s:
+        return effects
+    if not _may_read(tables):
+        return effects
+    exponent = min(state.reads, _MAX_RETRY_EXPONENT)
+    wait_s = bound_s * min(_MAX_RETRY, _RETRY * 2.0**exponent)
+    state.next_read_s = now.mono_s + wait_s * tables.rng.uniform(0.5, 1.0)
+    state.reads += 1
+    return [*effects, _effects.ReadSource()]
 
 
 def _adopt(tables: node.Tables, checked_s: float, now: _clock.Instant) -> None:
@@ -103,6 +117,7 @@
     if state.checked_s is not None and checked_s <= state.checked_s:
         return
     state.checked_s = checked_s
+    state.reads = 0
     gain_s = checked_s - state.announced_s
     if gain_s >= tables.settings.relay.apply_s * _MIN_GAIN:
         state.announced_s = checked_s
@@ -132,3 +147,16 @@
             fields={"age_s": round(found_s, 3), "parent": parent},
         )
     ]
+
+
+def _may_read(tables: node.Tables) -> bool:
+    """Return whether this node reads the source by itself.
+
+    The reader of a node that follows the source retries already after a
+    failure. The source cannot serve every node of a large data centre.
+    """
+    state = tables.relay
+    if state.follows_log and state.source_lost:
+        return False
+    limit = tables.settings.relay.detached_readers
+    return admit.local_size(tables) <= limit
--- a/src/arbutusstall/_staleness/news.py
+++ b/src/arbutusstall/_staleness/news.py
@@ -13,8 +13,12 @@
         announced_s: ``checked_s`` when the children last got a heartbeat
             because of it.
         is_late: Whether the news was too old in the last run.
+        next_read_s: Earliest time of the next read of the source.
+        reads: Reads of the source since ``checked_s`` last advanced.
     """
 
     checked_s: float | None = None
     announced_s: float = 0.0
     is_late: bool = False
+    next_read_s: float = 0.0
+    reads: int = 0
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -409,10 +409,21 @@
             message=freshness.stamp(tables, link, heartbeat, now),
         )
         for link in tables.links_by_peer.values()
-        if to_all or link.role is links.LinkRole.CHILD
+        if to_all or _is_due_each_time(tables, link)
     ]
 
 
+def _is_due_each_time(tables: node.Tables, link: links.Link) -> bool:
+    """Return whether a peer depends on each heartbeat of this node.
+
+    A root that cannot read the source depends on the other roots, which
+    matters where configurations have to be in force in time.
+    """
+    if link.role is links.LinkRole.ROOT:
+        return tables.settings.relay.apply_s > 0
+    return link.role is links.LinkRole.CHILD
+
+
 def _make_heartbeat(
     tables: node.Tables, now: _clock.Instant
 ) -> messages.Heartbeat:
