Leave heartbeats alone without a bound

Without relay.apply_s each heartbeat of a parent counted as news and was passed on at once: 28 KB a second of 12 in member.feature. The settings check also refused 0, the default.

--- a/src/arbutusstall/_settings_files.py
+++ b/src/arbutusstall/_settings_files.py
@@ -24,6 +24,7 @@
 _POSITIVE_SUFFIXES = ("_s", "_ms", "_bytes")
 _ZERO_ALLOWED_NAMES = frozenset(
     {
+        "apply_s",
         "hold_s",
         "patience_s",
         "read_gap_s",
--- a/src/arbutusstall/_staleness/decisions.py
+++ b/src/arbutusstall/_staleness/decisions.py
@@ -48,7 +48,8 @@
     now: _clock.Instant,
 ) -> list[_effects.Effect]:
     """Use a read of the source as news."""
-    _adopt(tables, event.checked_s, now)
+    if tables.settings.relay.apply_s:
+        _adopt(tables, event.checked_s, now)
     return []
 
 
@@ -63,7 +64,8 @@
     News about a configuration that is not in force here yet is ignored.
     A peer that reports no age is trusted as long as it sends heartbeats.
     """
-    if link.role is links.LinkRole.CHILD:
+    is_bounded = tables.settings.relay.apply_s > 0
+    if not is_bounded or link.role is links.LinkRole.CHILD:
         return
     source = versions.source_part(message.version)
     if source > tables.snapshot.source_version:
