--- a/features/steps/reads_steps.py
+++ b/features/steps/reads_steps.py
@@ -11,6 +11,7 @@
 
 import behave
 import ports
+from standins import endless
 
 from arbutusstall import _settings
 from arbutusstall import errors
@@ -27,30 +28,6 @@
 _MAX_STEP_S = 0.02
 _READS = _settings.ReadSettings(answer_bytes=250_000)
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n"
-_OK = b"HTTP/1.1 200 OK\r\n"
-_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
-_BLOCK = b"x" * 4_000
-_OTHER_ANSWER = (
-    b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nab"
-)
-
-# The start of an answer, and the data repeated until the connection closes.
-_ENDLESS_BY_NAME = {
-    "a reason phrase": (b"HTTP/1.1 200 ", _BLOCK),
-    "a header name": (_OK, _BLOCK),
-    "a header value": (_OK + b"X-Long: ", _BLOCK),
-    "header lines": (_OK, b"X-More: 1\r\n" * 300),
-    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
-    "chunk extensions": (_CHUNKED + b"4;", _BLOCK),
-    "trailers": (_CHUNKED + b"0\r\n", b"X-More: 1\r\n" * 300),
-    "a body in chunks": (_CHUNKED, b"fa0\r\n" + _BLOCK + b"\r\n"),
-    "a body with a length": (
-        _OK + b"Content-Length: 100000000000\r\n\r\n",
-        _BLOCK,
-    ),
-    "a body without length": (_OK + b"\r\n", _BLOCK),
-    "answers to others": (b"", _OTHER_ANSWER * 50),
-}
 
 
 class _ScriptedTarget:
@@ -88,7 +65,7 @@
 @behave.given("a target that sends {what} without end")
 def endless_target(context, what):
     """Repeat the data until the connection is closed."""
-    first, then = _ENDLESS_BY_NAME[what]
+    first, then = endless.ANSWERS_BY_NAME[what]
     context.scripted_target = _ScriptedTarget(
         context, first, itertools.repeat(then)
     )
@@ -98,14 +75,16 @@
 def small_chunk_target(context, count):
     """Send one body; each byte of it takes six on the wire."""
     context.scripted_target = _ScriptedTarget(
-        context, _CHUNKED, [b"1\r\nx\r\n" * count + b"0\r\n\r\n"]
+        context, endless.CHUNKED, [b"1\r\nx\r\n" * count + b"0\r\n\r\n"]
     )
 
 
 @behave.given("a target that sends a body without length and then waits")
 def unfinished_target(context):
     """Send a body that would end with the connection."""
-    context.scripted_target = _ScriptedTarget(context, _OK + b"\r\nhalf", [])
+    context.scripted_target = _ScriptedTarget(
+        context, endless.OK + b"\r\nhalf", []
+    )
 
 
 class _LoopMonitor:
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -11,6 +11,7 @@
 
 from arbutusstall import errors
 from arbutusstall._shell import http
+from standins import endless
 
 _HEARTBEAT_INTERVAL_S = 0.3
 _MISDIRECTED_STATUS = 421
@@ -37,6 +38,7 @@
         health_cold: Value of the header of its health checks that tells
             the remaining coldness; empty if there is none.
         health_bytes: Size of the body of a health check's answer.
+        endless: Name of an answer without end (`endless`); empty for none.
     """
 
     delay_s: float = 0.0
@@ -49,6 +51,7 @@
     cold_s: float = 0.0
     health_cold: str = ""
     health_bytes: int = 0
+    endless: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -231,6 +234,8 @@
             )
         )
         time.sleep(behaviour.delay_s)
+        if behaviour.endless:
+            endless.send(environ["werkzeug.socket"], behaviour.endless)
         if behaviour.reset:
             sock = environ["werkzeug.socket"]
             sock.shutdown(socket.SHUT_RDWR)
--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -24,6 +24,7 @@
 
 from arbutusstall import errors
 from arbutusstall._shell import http
+from standins import endless
 from standins import journal
 
 _ANNOUNCE_INTERVAL_S = 1.0
@@ -46,6 +47,7 @@
             core. Zero for no limit.
         crash_body: A request with this body ends the process.
         slow_prefix: Only paths with this prefix take ``delay_s``.
+        endless: Name of an answer without end (`endless`); empty for none.
     """
 
     fail: float = 0.0
@@ -54,6 +56,7 @@
     capacity: int = 0
     crash_body: str = ""
     slow_prefix: str = ""
+    endless: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -117,6 +120,9 @@
             failed = self._must_fail(behaviour, request.path)
         if "/crash" in request.path:
             os._exit(1)
+        if behaviour.endless:
+            sock = request.environ["werkzeug.socket"]
+            endless.send(sock, behaviour.endless)
         if behaviour.crash_body and body == behaviour.crash_body:
             # Requests that were sent at the same time start meanwhile.
             time.sleep(_CRASH_DELAY_S)
