Give large answers of the store time to arrive

Cause: a read had one second in all. The configuration has 605 KB in the page of the newest records, and the links 10 Mbit/s. Nodes that had lost their parent read it themselves, timed out with up to 573 KB received, and began again, each time loading the link that they needed.

A read now ends when nothing arrives for the request timeout, and after log.transfer_s (10 s) in any case. A watch in one thread aborts it, since libcurl's own limit of low speed counts in whole seconds.

'a large answer of the store over a slow link is read' failed before (225,036 of 600,077 bytes after 1000 ms) and passes. A silent store is noticed as soon as before.

--- a/features/reads.feature
+++ b/features/reads.feature
@@ -69,3 +69,22 @@
       | interim answers      |
       | a body in chunks     |
       | a body with a length |
+
+  # Guards against: a node on a slow link that never gets a large
+  # configuration, since each read ends shortly before it is whole.
+  Scenario: a large answer of the store over a slow link is read
+    Given a store that sends a configuration of 600 KB within 2.4 seconds
+    When a client with a request timeout of 1 s reads the newest records
+    Then it has the configuration
+
+  # Guards against: a limit of the whole answer that hides a silent store.
+  Scenario Outline: a store that sends <what> is given up
+    Given a store that sends <what>
+    When a client with a request timeout of 1 s reads the newest records
+    Then the store is reported unavailable within <limit> seconds
+
+    Examples:
+      | what                             | limit |
+      | nothing                          | 2     |
+      | half of an answer                | 2     |
+      | a byte every 0.2 s and never end | 5     |
--- a/features/steps/reads_steps.py
+++ b/features/steps/reads_steps.py
@@ -412,3 +412,74 @@
     """Check that the read fails before the request's time limit."""
     assert context.problem is not None
     assert context.taken_s < limit, context.taken_s
+
+
+_NEWEST_HEAD = endless.OK + b"Content-Length: %d\r\n\r\n"
+_PAGE = b'{"items":[{"key":"config","value":"%s","offset":0}],%s'
+_PAGE_END = b'"more":false,"endOffset":1}'
+_PARTS = 24
+
+
+def _slow_parts(data, seconds):
+    size = -(-len(data) // _PARTS)
+    for start in range(0, len(data), size):
+        time.sleep(seconds / _PARTS)
+        yield data[start : start + size]
+
+
+def _drip():
+    while True:
+        time.sleep(0.2)
+        yield b" "
+
+
+@behave.given(
+    "a store that sends a configuration of {size:d} KB"
+    " within {seconds:g} seconds"
+)
+def slow_store(context, size, seconds):
+    """Send the page of one record in parts."""
+    data = _PAGE % (b"A" * size * 1_000, _PAGE_END)
+    context.scripted_target = _ScriptedTarget(
+        context, _NEWEST_HEAD % len(data), _slow_parts(data, seconds)
+    )
+
+
+@behave.given("a store that sends {what}")
+def silent_store(context, what):
+    """Send a part of an answer, or one that does not end in time."""
+    head = _NEWEST_HEAD % 1_000
+    first, then = {
+        "nothing": (b"", []),
+        "half of an answer": (head + b" " * 500, []),
+        "a byte every 0.2 s and never end": (head, _drip()),
+    }[what]
+    context.scripted_target = _ScriptedTarget(context, first, then)
+
+
+@behave.when(
+    "a client with a request timeout of {seconds:g} s reads the newest records"
+)
+def read_newest(context, seconds):
+    """Read them as a node that has lost its parent does."""
+    client = store.Store(
+        _settings.LogSettings(
+            url=f"http://{context.scripted_target.address}",
+            request_timeout_s=seconds,
+            transfer_s=3.0,
+        )
+    )
+    started_s = time.monotonic()
+    context.problem = None
+    try:
+        context.newest = client.read_newest("topic")
+    except errors.LogUnavailable as exc:
+        context.problem = exc
+    context.taken_s = time.monotonic() - started_s
+
+
+@behave.then("it has the configuration")
+def has_configuration(context):
+    """Check the record."""
+    assert context.problem is None, context.problem
+    assert [record.key for record in context.newest.records] == ["config"]
--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -43,6 +43,8 @@
         poll_s: Maximum time that a read waits for the next record. A
             connection that is silent for this time plus the request
             timeout is considered lost.
+        transfer_s: Maximum time that an answer takes after its first byte.
+            It ends earlier if nothing arrives for the request timeout.
         read_gap_s: Minimum time between the starts of two reads. Records
             that arrive within it are read together.
         retry_base_s: Initial backoff between retries.
@@ -56,6 +58,7 @@
     url: str
     request_timeout_s: float = 2.0
     poll_s: float = 1.5
+    transfer_s: float = 10.0
     read_gap_s: float = 0.0
     retry_base_s: float = 0.05
     retry_cap_s: float = 2.0
--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -18,6 +18,7 @@
 import pycurl
 
 from arbutusstall import errors
+from arbutusstall._shell import stall_watch
 
 _INTERIM_STATUS_LINE = re.compile(rb"HTTP/\S+ 1\d\d")
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -27,6 +28,19 @@
 _ABORT = -1
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StallLimits:
+    """Limits of the time in which nothing of a response arrives.
+
+    Attributes:
+        first_s: Time limit for the first byte, in seconds.
+        next_s: Time limit for each further part, in seconds.
+    """
+
+    first_s: float
+    next_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
     """An HTTP request.
@@ -37,6 +51,8 @@
             seconds.
         fresh: Whether a new connection must be opened.
         answer_bytes: Maximum size of the response body, in bytes.
+        stalls: Limits of the time in which nothing arrives; None if only
+            the whole exchange is limited.
     """
 
     method: str
@@ -47,6 +63,7 @@
     connect_timeout_s: float = 1.0
     fresh: bool = False
     answer_bytes: int = 64 * 1024 * 1024
+    stalls: StallLimits | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,15 +83,22 @@
         self.lines: list[bytes] = []
         self._max_body_bytes = max_body_bytes
         self._head_bytes = 0
+        self.watched: stall_watch.Exchange | None = None
 
     def write(self, data: bytes) -> int:
         """Append a part of the body."""
+        self._record_arrival()
         if self.body.tell() + len(data) > self._max_body_bytes:
             return _ABORT
         return self.body.write(data)
 
+    def _record_arrival(self) -> None:
+        if self.watched is not None:
+            self.watched.record_arrival()
+
     def add_line(self, line: bytes) -> int:
         """Append a line of a head; interim responses have heads too."""
+        self._record_arrival()
         self._head_bytes += len(line)
         if self._head_bytes > _MAX_HEAD_BYTES:
             return _ABORT
@@ -89,6 +113,7 @@
         self._curl = pycurl.Curl()
         self._socket: socket.socket | None = None
         self._heads_sent = 0
+        self._begin: abc.Callable[[], None] = _do_nothing
         self._broken = False
         self._configure()
 
@@ -103,6 +128,7 @@
         curl = self._curl
         received = _ResponseBuffer(request.answer_bytes)
         self._heads_sent = 0
+        self._begin = lambda: self._watch(received, request.stalls)
         self._set_options(request)
         curl.setopt(pycurl.WRITEFUNCTION, received.write)
         curl.setopt(pycurl.HEADERFUNCTION, received.add_line)
@@ -110,7 +136,10 @@
             curl.perform()
         except pycurl.error as exc:
             self._broken = True
-            raise self._to_error(request, exc) from exc
+            raise self._to_error(request, received, exc) from exc
+        finally:
+            if received.watched is not None:
+                stall_watch.WATCH.remove(received.watched)
         return self._response(
             request, received.lines, received.body.getvalue()
         )
@@ -177,16 +206,30 @@
         self._socket = socket.socket(family, kind, protocol)
         return self._socket
 
+    def _watch(
+        self, received: _ResponseBuffer, stalls: StallLimits | None
+    ) -> None:
+        if stalls is not None:
+            received.watched = stall_watch.WATCH.add(
+                self.abort, first_s=stalls.first_s, limit_s=stalls.next_s
+            )
+
     def _on_before_head(self, *_: object) -> int:
         self._heads_sent += 1
         if self._heads_sent > 1:
             return int(pycurl.PREREQFUNC_ABORT)
+        self._begin()
         return int(pycurl.PREREQFUNC_OK)
 
     def _to_error(
-        self, request: Request, exc: pycurl.error
+        self,
+        request: Request,
+        received: _ResponseBuffer,
+        exc: pycurl.error,
     ) -> errors.ArbutusstallError:
         reason = str(exc.args[1])
+        if received.watched is not None and received.watched.has_stalled:
+            reason = f"nothing arrived in time: {reason}"
         if self._heads_sent == 0:
             return errors.PeerUnavailable(
                 step="http.connect", peer=request.url, reason=reason
@@ -297,6 +340,10 @@
     return connection.send(request)
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _final_head(lines: list[bytes]) -> list[bytes]:
     starts = [
         index
--- a/src/arbutusstall/_shell/log_client.py
+++ b/src/arbutusstall/_shell/log_client.py
@@ -64,13 +64,17 @@
     def read(self, offset: int, wait_s: float) -> _effects.LogRead:
         """Return the entries from ``offset`` on; see `LogClient`."""
         wait_ms = int(wait_s * 1000)
+        first_s = self._settings.request_timeout_s + wait_s
         body = self._request(
             http.Request(
                 method="GET",
                 url=f"{self._settings.url}/records"
                 f"?from={offset}&wait_ms={wait_ms}",
-                timeout_s=self._settings.request_timeout_s + wait_s,
+                timeout_s=first_s + self._settings.transfer_s,
                 answer_bytes=self._settings.answer_bytes,
+                stalls=http.StallLimits(
+                    first_s=first_s, next_s=self._settings.request_timeout_s
+                ),
             ),
             step="log.read",
         )
--- a/src/arbutusstall/platform/store.py
+++ b/src/arbutusstall/platform/store.py
@@ -257,13 +257,17 @@
         wait_s: float = 0.0,
     ) -> http.Response:
         url = f"{self._settings.url}{path}?{urllib.parse.urlencode(query)}"
+        first_s = self._settings.request_timeout_s + wait_s
         request = http.Request(
             method=method,
             url=url,
             body=body,
-            timeout_s=self._settings.request_timeout_s + wait_s,
+            timeout_s=first_s + self._settings.transfer_s,
             connect_timeout_s=self._settings.request_timeout_s,
             answer_bytes=self._settings.answer_bytes,
+            stalls=http.StallLimits(
+                first_s=first_s, next_s=self._settings.request_timeout_s
+            ),
         )
         try:
             response = http.send(request)
