Bound the heads of targets' answers together

A target that sent header lines or trailers without end took the node beside it to 160 and 150 MB of 100: each connection held up to 64 KiB of lines, 20 times that when decoded, and kept them until the collector ran, since the parser and the connection refer to each other.

Lines now count against the budget of the bodies that are being read, and a connection that has ended drops its parser. Both rows of endless_answers.feature failed before and pass (52 MB); its other rows on the platform passed before and after.

--- a/src/arbutusstall/_proxy/http_client.py
+++ b/src/arbutusstall/_proxy/http_client.py
@@ -21,6 +21,7 @@
 from arbutusstall._proxy import byte_budget
 from arbutusstall._proxy import http_messages
 from arbutusstall._proxy import reading
+from arbutusstall._proxy import request_limits
 
 LOG = logging.getLogger(__name__)
 
@@ -85,12 +86,18 @@
         self.reusable = False
         self._reservation.release()
         self._pool.remove(self)
-        if self._done is None:
-            return
+        if self._done is not None:
+            self._end_request(exc)
+        # The parser refers to this connection and holds what it has read;
+        # without the cycle both are freed at once.
+        del self._parser
+
+    def _end_request(self, exc: Exception | None) -> None:
         if exc is None and not self._aborted and self._body_ends_at_close():
             self._complete()
-            return
-        self._finish(self._outcome_unknown(str(exc or "closed by the target")))
+        else:
+            reason = str(exc or "closed by the target")
+            self._finish(self._outcome_unknown(reason))
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; close the connection if none is expected."""
@@ -167,7 +174,12 @@
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header within the limits of what is held."""
+        if self._done is None:
+            return
+        size = request_limits.LINE_BYTES + len(name) + len(value)
+        if not self._reserve(size):
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -205,9 +217,8 @@
         limit = self._pool.reads.answer_bytes
         if len(self._body) > limit:
             self._give_up(f"a body of more than {limit} bytes")
-        elif not self._reservation.reserve(len(body)):
-            limit = self._pool.budget.limit
-            self._give_up(f"more than {limit} bytes of bodies are held")
+        else:
+            self._reserve(len(body))
 
     def on_message_complete(self) -> None:
         """Finish a response; interim responses (1xx) are skipped."""
@@ -259,6 +270,14 @@
         if self._received_bytes - body_bytes > allowed:
             self._give_up(f"more than {allowed} bytes beside the body")
 
+    def _reserve(self, count: int) -> bool:
+        """Reserve bytes of the answer, or give it up."""
+        if self._reservation.reserve(count):
+            return True
+        limit = self._pool.budget.limit
+        self._give_up(f"more than {limit} bytes of answers are held")
+        return False
+
     def _give_up(self, reason: str) -> None:
         """Close the connection and report a request in flight as lost."""
         self.reusable = False
@@ -272,6 +291,7 @@
                 }
             )
             self._finish(self._outcome_unknown(reason))
+        self._headers.clear()
         self._body.clear()
         self.close()
 
