Bound answers read by the threaded call path

A target that sent a body without end took both threaded nodes to 1016 to 1149 MB of 100: each answer could have 64 MiB, the HTTP client's default, at the node beside the target and at the caller's, and the curl handle kept the last one until the next exchange.

Answers of targets and of nodes have the limits of ReadSettings now, and each of the two pools a budget that all its reads share. Bodies are dropped when the exchange ends.

--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -18,6 +18,7 @@
 import pycurl
 
 from arbutusstall import errors
+from arbutusstall._bounds import shared_budget
 from arbutusstall._shell import stall_watch
 
 _INTERIM_STATUS_LINE = re.compile(rb"HTTP/\S+ 1\d\d")
@@ -78,10 +79,16 @@
 class _ResponseBuffer:
     """Collects a response; aborts the exchange beyond the size limits."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        budget: shared_budget.SharedBudget | None = None,
+    ) -> None:
         self.body = io.BytesIO()
         self.lines: list[bytes] = []
         self._max_body_bytes = max_body_bytes
+        self._budget = budget
+        self._reserved_bytes = 0
         self._head_bytes = 0
         self.watched: stall_watch.Exchange | None = None
 
@@ -90,8 +97,22 @@
         self._record_arrival()
         if self.body.tell() + len(data) > self._max_body_bytes:
             return _ABORT
+        if self._budget is not None:
+            if not self._budget.reserve(len(data)):
+                return _ABORT
+            self._reserved_bytes += len(data)
         return self.body.write(data)
 
+    def release(self) -> None:
+        """Forget the body, and return what it takes to the budget.
+
+        The curl handle keeps a reference until the next exchange.
+        """
+        self.body = io.BytesIO()
+        if self._budget is not None:
+            self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _record_arrival(self) -> None:
         if self.watched is not None:
             self.watched.record_arrival()
@@ -106,10 +127,29 @@
         return len(line)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerLimits:
+    """Limits of the response bodies that are read over connections.
+
+    Attributes:
+        answer_bytes: Maximum size of one body, in bytes.
+        budget: Bounds the bodies that are being read together.
+    """
+
+    answer_bytes: int
+    budget: shared_budget.SharedBudget
+
+
 class Connection:
-    """A curl handle that keeps at most one connection open."""
+    """A curl handle that keeps at most one connection open.
+
+    Args:
+        limits: Limits in addition to those of each request; None if there
+            are none.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: AnswerLimits | None = None) -> None:
+        self._limits = limits
         self._curl = pycurl.Curl()
         self._socket: socket.socket | None = None
         self._heads_sent = 0
@@ -126,7 +166,7 @@
                 response may be incomplete.
         """
         curl = self._curl
-        received = _ResponseBuffer(request.answer_bytes)
+        received = self._response_buffer(request)
         self._heads_sent = 0
         self._begin = lambda: self._watch(received, request.stalls)
         self._set_options(request)
@@ -134,15 +174,16 @@
         curl.setopt(pycurl.HEADERFUNCTION, received.add_line)
         try:
             curl.perform()
+            return self._response(
+                request, received.lines, received.body.getvalue()
+            )
         except pycurl.error as exc:
             self._broken = True
             raise self._to_error(request, received, exc) from exc
         finally:
+            received.release()
             if received.watched is not None:
                 stall_watch.WATCH.remove(received.watched)
-        return self._response(
-            request, received.lines, received.body.getvalue()
-        )
 
     def abort(self) -> None:
         """Abort the exchange in progress; callable from any thread."""
@@ -164,6 +205,13 @@
         """Whether no exchange over this connection has failed."""
         return not self._broken
 
+    def _response_buffer(self, request: Request) -> _ResponseBuffer:
+        limits = self._limits
+        if limits is None:
+            return _ResponseBuffer(request.answer_bytes)
+        size = min(request.answer_bytes, limits.answer_bytes)
+        return _ResponseBuffer(size, limits.budget)
+
     def _configure(self) -> None:
         curl = self._curl
         curl.setopt(pycurl.NOSIGNAL, 1)
@@ -262,10 +310,17 @@
     Args:
         limit: Maximum number of connections in use to one address.
         max_idle: Maximum number of idle connections to one address.
+        answers: Limits of the response bodies; None if there are none.
     """
 
-    def __init__(self, limit: int, max_idle: int = _DEFAULT_MAX_IDLE) -> None:
+    def __init__(
+        self,
+        limit: int,
+        max_idle: int = _DEFAULT_MAX_IDLE,
+        answers: AnswerLimits | None = None,
+    ) -> None:
         self._limit = limit
+        self._answers = answers
         self._max_idle = max_idle
         self._lock = threading.Lock()
         self._idle_by_address: dict[str, collections.deque[Connection]] = {}
@@ -306,7 +361,7 @@
             idle = self._idle_by_address.get(address)
             if idle:
                 return idle.pop()
-        return Connection()
+        return Connection(self._answers)
 
     def _release(self, address: str, connection: Connection) -> None:
         with self._lock:
--- a/src/arbutusstall/_shell/inbound.py
+++ b/src/arbutusstall/_shell/inbound.py
@@ -12,6 +12,7 @@
 from arbutusstall import _effects
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._shell import answer_limits
 from arbutusstall._shell import call_metrics
 from arbutusstall._shell import control
 from arbutusstall._shell import events
@@ -104,7 +105,10 @@
         self._stopping = False
         self._crash_count = 0
         self._crash_recorded = False
-        self._pool = http.Pool(limit=calls.connections)
+        self._pool = http.Pool(
+            limit=calls.connections,
+            answers=answer_limits.for_targets(settings.reads),
+        )
         self._server = web.WebServer(
             settings.addresses.inbound,
             self,
--- a/src/arbutusstall/_shell/peers.py
+++ b/src/arbutusstall/_shell/peers.py
@@ -7,6 +7,7 @@
 
 from arbutusstall import _settings
 from arbutusstall import errors
+from arbutusstall._shell import answer_limits
 from arbutusstall._shell import http
 from arbutusstall._shell import inbound
 from arbutusstall._systems import estimate
@@ -249,7 +250,10 @@
     ) -> None:
         self._node = settings.node
         self._local = LocalPeer(local)
-        self._pool = http.Pool(limit=settings.calls.connections)
+        self._pool = http.Pool(
+            limit=settings.calls.connections,
+            answers=answer_limits.for_nodes(settings.reads),
+        )
         self._lock = threading.Lock()
         self._remote_by_node: dict[str, RemotePeer] = {}
 
