Read the source on from its position after a failure

The position is kept unless what follows it has expired or cannot be read, which PositionLost says. 'it reads on from where it was' failed before (two reads of everything) and passes.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -68,6 +68,8 @@
     When it is unavailable while a worker follows it
     Then the worker reports the store's loss once and its return once
     And the configuration published during the outage arrives
+    # A read of everything may be too large for a slow link.
+    And it reads on from where it was
 
   Scenario: a late report of a rollout does not replace a newer one
     # Pattern: a call to the store that got no answer takes effect later.
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 import behave
 import calls
@@ -334,10 +335,11 @@
     settings = _settings.LogSettings(
         url=f"http://{server.address}", poll_s=0.1, retry_cap_s=0.1
     )
+    source = operator.OperatorSource(stores.Store(settings))
+    context.read_all = mock.Mock(wraps=source.read_all)
+    source.read_all = context.read_all
     worker = source_worker.SourceWorker(
-        operator.OperatorSource(stores.Store(settings)),
-        settings,
-        context.events.append,
+        source, settings, context.events.append
     )
     context.add_cleanup(worker.stop)
     _publish(context, 3)
@@ -368,6 +370,13 @@
     context.operator_store.faults = store_standin.Faults()
 
 
+@behave.then("it reads on from where it was")
+def read_on(context):
+    """Check that everything was read only at the start."""
+    platform_mesh.wait_until(lambda: _versions(context)[-1] == 5)
+    assert context.read_all.call_count == 1, context.read_all.call_count
+
+
 @behave.then("the worker reports the store's loss once and its return once")
 def changes_reported_once(context):
     """Check the events, however many reads have failed."""
--- a/src/arbutusstall/_log/source.py
+++ b/src/arbutusstall/_log/source.py
@@ -51,8 +51,8 @@
             wait_s: Maximum time to wait for something new, in seconds.
 
         Raises:
-            LogUnavailable: The source did not answer, or what followed
-                the position has expired.
+            LogUnavailable: The source did not answer.
+            PositionLost: What followed the position has expired.
         """
         ...
 
--- a/src/arbutusstall/_proxy/source_worker.py
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -91,7 +91,7 @@
             try:
                 read = self._read_from(position, wait_s)
             except errors.LogUnavailable as exc:
-                position = None
+                position = _position_after(position, exc)
                 pause_s = 0.0
                 if not failed:
                     self._report_availability(
@@ -124,7 +124,7 @@
             read = self._read_from(self._single_position, 0.0)
         except errors.LogUnavailable as exc:
             LOG.info({"event": "source-not-read", "reason": exc.reason})
-            self._single_position = None
+            self._single_position = _position_after(self._single_position, exc)
         else:
             is_same_era = read.era == self._single_era
             self._single_era = read.era
@@ -176,7 +176,9 @@
             raise
         except Exception as exc:
             failures.log("source.read", exc)
-            raise _unavailable("source.read", exc) from exc
+            raise errors.PositionLost(
+                step="source.read", peer="-", reason=failures.describe(exc)
+            ) from exc
 
     def _report_availability(
         self, *, available: bool, reason: str = ""
@@ -213,13 +215,20 @@
             raise
         except Exception as exc:
             failures.log("source.report", exc)
-            raise _unavailable("source.report", exc) from exc
+            raise errors.LogUnavailable(
+                step="source.report", peer="-", reason=failures.describe(exc)
+            ) from exc
 
     def _backoff_s(self, failed: int) -> float:
         return pacing.backoff_s(self._settings, failed, self._rng)
 
 
-def _unavailable(step: str, exc: Exception) -> errors.LogUnavailable:
-    return errors.LogUnavailable(
-        step=step, peer="-", reason=failures.describe(exc)
-    )
+def _position_after(
+    position: int | None, problem: errors.LogUnavailable
+) -> int | None:
+    """Return where to read on after a failure.
+
+    A read of everything may be large, so that it is done only if the
+    position cannot be used.
+    """
+    return None if isinstance(problem, errors.PositionLost) else position
--- a/src/arbutusstall/errors.py
+++ b/src/arbutusstall/errors.py
@@ -11,6 +11,7 @@
     "NotRun",
     "OutcomeUnknown",
     "PeerUnavailable",
+    "PositionLost",
     "ReleaseRefused",
     "WireError",
 ]
@@ -45,6 +46,10 @@
     """The platform log did not answer or failed; an append may be stored."""
 
 
+class PositionLost(LogUnavailable):
+    """A source cannot be read on from the position that was reached."""
+
+
 class LogOverloaded(LogUnavailable):
     """The platform log's rate limit rejected a request; nothing is stored."""
 
--- a/src/arbutusstall/platform/operator.py
+++ b/src/arbutusstall/platform/operator.py
@@ -155,13 +155,13 @@
             wait_s: Maximum time to wait for something new, in seconds.
 
         Raises:
-            LogUnavailable: The store did not answer, or the records at
-                the position have expired.
+            LogUnavailable: The store did not answer.
+            PositionLost: The records at the position have expired.
         """
         sent_s = _clock.steady_s()
         records = self._store.read(_OPERATOR_TOPIC, position, wait_s)
         if records.offset != position:
-            raise errors.LogUnavailable(
+            raise errors.PositionLost(
                 step="source.read", peer=_OPERATOR_TOPIC, reason="expired"
             )
         decoded = []
