Read only what is new when the news is late

Heartbeats tell the position up to which the source was read, with its era, and a node whose news is late reads on from there. A position that cannot be used is not tried again. Roots have news each 0.3 of the bound (0.4 before), so that answers of 0.25 s do not make it late.

'a single read begins where another node has read to' is new.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -71,6 +71,15 @@
     # A read of everything may be too large for a slow link.
     And it reads on from where it was
 
+  Scenario: a single read begins where another node has read to
+    # Guards against: every node reads everything when the news is late.
+    Given the platform's store in this process
+    When version 5 is published and read once from the position before it
+    Then version 5 is delivered and everything was read only at the start
+    When the source is read once from a position that it does not have
+    And the source is read once without a position
+    Then everything was read once more
+
   Scenario: a late report of a rollout does not replace a newer one
     # Pattern: a call to the store that got no answer takes effect later.
     Given the platform's store in this process
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -342,6 +342,7 @@
         source, settings, context.events.append
     )
     context.add_cleanup(worker.stop)
+    context.source_worker = worker
     _publish(context, 3)
     worker.follow(_effects.FollowLog(offset=0))
     platform_mesh.wait_until(lambda: _versions(context) == [3])
@@ -370,6 +371,57 @@
     context.operator_store.faults = store_standin.Faults()
 
 
+def _confirmations(context):
+    return [
+        event
+        for event in list(context.events)
+        if isinstance(event, _effects.SourceConfirmed)
+    ]
+
+
+@behave.when(
+    "version 5 is published and read once from the position before it"
+)
+def read_once_from(context):
+    """Read as a node does whose news is late."""
+    platform_mesh.wait_until(lambda: _confirmations(context))
+    position = _confirmations(context)[-1].position
+    context.source_worker.stop_reading()
+    time.sleep(0.3)
+    context.events.clear()
+    _publish(context, 5)
+    context.source_worker.read_once(_effects.ReadSource(position=position))
+
+
+@behave.then(
+    "version 5 is delivered and everything was read only at the start"
+)
+def read_only_new(context):
+    """Wait for the configuration."""
+    platform_mesh.wait_until(lambda: _versions(context) == [5])
+    assert context.read_all.call_count == 1, context.read_all.call_count
+
+
+@behave.when("the source is read once from a position that it does not have")
+def read_once_beyond(context):
+    """Name a position beyond the end."""
+    beyond = _effects.ReadSource(position=1_000)
+    context.source_worker.read_once(beyond)
+    time.sleep(0.3)
+
+
+@behave.when("the source is read once without a position")
+def read_once_anywhere(context):
+    """Leave the choice to the worker."""
+    context.source_worker.read_once(_effects.ReadSource())
+
+
+@behave.then("everything was read once more")
+def read_everything(context):
+    """Check that the unusable position was given up."""
+    platform_mesh.wait_until(lambda: context.read_all.call_count == 2)
+
+
 @behave.then("it reads on from where it was")
 def read_on(context):
     """Check that everything was read only at the start."""
--- a/src/arbutusstall/_effects.py
+++ b/src/arbutusstall/_effects.py
@@ -239,11 +239,13 @@
         sent_s: Monotonic time at which the request was sent.
         checked_s: Time by which the source still had published nothing
             more; not before ``sent_s``.
+        position: Position at which the next read starts.
         era: Era of the store that answered; 0 if it reported none.
     """
 
     sent_s: float
     checked_s: float = 0.0
+    position: int = 0
     era: int = 0
 
 
@@ -426,7 +428,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ReadSource:
-    """Read the external source once, without following it."""
+    """Read the external source once, without following it.
+
+    Attributes:
+        position: Position from which to read; None to go on from the last
+            such read, or to read everything if there was none.
+        era: Era of the store in which the position is valid.
+    """
+
+    position: int | None = None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/arbutusstall/_proxy/source_worker.py
+++ b/src/arbutusstall/_proxy/source_worker.py
@@ -66,6 +66,9 @@
             if self._is_single_running:
                 return
             self._is_single_running = True
+            if effect.position is not None:
+                self._single_position = effect.position
+                self._single_era = effect.era
         self._pool.submit(self._read_single)
 
     def report(self, effect: _effects.ReportRollout) -> None:
@@ -155,6 +158,7 @@
                     # The source answers no later than after the wait, however
                     # long the answer took to arrive.
                     checked_s=min(read.sent_s + wait_s, _clock.steady_s()),
+                    position=read.position,
                     era=read.era,
                 )
             )
--- a/src/arbutusstall/_staleness/decisions.py
+++ b/src/arbutusstall/_staleness/decisions.py
@@ -20,10 +20,11 @@
 from arbutusstall._tables import node
 from arbutusstall._tables import versions
 from arbutusstall._wire import messages
+from arbutusstall._wire import tree_messages
 
 # Fractions of the time within which a configuration has to be in force.
 # Roots have news this often, also if nothing changes.
-_POLL = 0.4
+_POLL = 0.3
 # News is older than that by a tick for each level of the tree. A read and
 # its distribution take the rest of the time.
 _MAX_AGE = 0.7
@@ -49,7 +50,7 @@
 ) -> list[_effects.Effect]:
     """Use a read of the source as news."""
     if tables.settings.relay.apply_s:
-        _adopt(tables, event.checked_s, now)
+        _adopt(tables, event.checked_s, event.position, event.era, now)
     return []
 
 
@@ -62,7 +63,7 @@
     """Use the news of a parent or of another root.
 
     News about a configuration that is not in force here yet is ignored.
-    A peer that reports no age is trusted as long as it sends heartbeats.
+    A peer that reports none is trusted as long as it sends heartbeats.
     """
     is_bounded = tables.settings.relay.apply_s > 0
     if not is_bounded or link.role is links.LinkRole.CHILD:
@@ -70,20 +71,28 @@
     source = versions.source_part(message.version)
     if source > tables.snapshot.source_version:
         return
-    age_s = message.news_age_s
-    if age_s is msgspec.UNSET:
-        age_s = 0.0
-    if 0.0 <= age_s <= now.mono_s:
-        _adopt(tables, now.mono_s - age_s, now)
+    found = message.news
+    if found is msgspec.UNSET:
+        _adopt(tables, now.mono_s, None, 0, now)
+    elif 0.0 <= found.age_s <= now.mono_s:
+        checked_s = now.mono_s - found.age_s
+        _adopt(tables, checked_s, found.position, found.era, now)
 
 
-def reported_age_s(
+def reported(
     tables: node.Tables, now: _clock.Instant
-) -> float | msgspec.UnsetType:
-    """Return the age that heartbeats carry; unset without a bound."""
+) -> tree_messages.SourceNews | msgspec.UnsetType:
+    """Return the news that heartbeats carry; unset without a bound."""
+    state = tables.news
     if not tables.settings.relay.apply_s:
         return msgspec.UNSET
-    return age_s(tables.news, now.mono_s)
+    if state.position is None:
+        return tree_messages.SourceNews(age_s=math.inf)
+    return tree_messages.SourceNews(
+        age_s=age_s(state, now.mono_s),
+        position=state.position,
+        era=state.era,
+    )
 
 
 def age_s(state: news.SourceNews, now_s: float) -> float:
@@ -110,15 +119,25 @@
     exponent = min(state.reads, _MAX_RETRY_EXPONENT)
     wait_s = bound_s * min(_MAX_RETRY, _RETRY * 2.0**exponent)
     state.next_read_s = now.mono_s + wait_s * tables.rng.uniform(0.5, 1.0)
+    # A position that turned out to be unusable is not tried again.
+    position = None if state.reads else state.position
     state.reads += 1
-    return [*effects, _effects.ReadSource()]
+    return [*effects, _effects.ReadSource(position=position, era=state.era)]
 
 
-def _adopt(tables: node.Tables, checked_s: float, now: _clock.Instant) -> None:
+def _adopt(
+    tables: node.Tables,
+    checked_s: float,
+    position: int | None,
+    era: int,
+    now: _clock.Instant,
+) -> None:
     state = tables.news
     if state.checked_s is not None and checked_s <= state.checked_s:
         return
     state.checked_s = checked_s
+    state.position = position
+    state.era = era
     state.reads = 0
     gain_s = checked_s - state.announced_s
     if gain_s >= tables.settings.relay.apply_s * _MIN_GAIN:
--- a/src/arbutusstall/_systems/tree.py
+++ b/src/arbutusstall/_systems/tree.py
@@ -433,7 +433,7 @@
         version=tables.snapshot.version,
         members=rows.checksum(tables),
         reads_source=tables.is_root and not tables.relay.source_lost,
-        news_age_s=staleness.reported_age_s(tables, now),
+        news=staleness.reported(tables, now),
         evacuations=tables.evacuations.if_known,
     )
 
--- a/src/arbutusstall/_wire/tree_messages.py
+++ b/src/arbutusstall/_wire/tree_messages.py
@@ -86,6 +86,22 @@
     local_size: int = 1
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SourceNews:
+    """How long ago the external source had nothing newer.
+
+    Attributes:
+        age_s: Seconds since the source was last known to have nothing newer
+            than the sender's configuration; infinite if that is unknown.
+        position: Position at which a read of what is newer starts.
+        era: Era of the store in which the position is valid.
+    """
+
+    age_s: float
+    position: _values.Number = 0
+    era: _values.Count = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Heartbeat:
     """Keeps a link alive and reports the sender's state.
@@ -103,10 +119,9 @@
         age_s: Age of the sender's evidence that ``version`` is the
             source's newest when that reading arrived; negative if the
             evidence is newer.
-        news_age_s: Seconds since the external source was last known to
-            have nothing newer than ``version``; infinite if that is
-            unknown. It is left out unless the time within which a
-            configuration has to be in force has a bound.
+        news: What the sender knows of the external source; left out unless
+            the time within which a configuration has to be in force has a
+            bound.
         evacuations: As in `Hello`.
 
     The clocks and the age are left out unless the use of revoked API keys
@@ -121,7 +136,7 @@
     clock_s: float | msgspec.UnsetType = msgspec.UNSET
     stamp_s: float | msgspec.UnsetType = msgspec.UNSET
     age_s: float | msgspec.UnsetType = msgspec.UNSET
-    news_age_s: float | msgspec.UnsetType = msgspec.UNSET
+    news: SourceNews | msgspec.UnsetType = msgspec.UNSET
     evacuations: register.OptionalRegister = msgspec.UNSET
 
 
--- a/tests/source_fleet.py
+++ b/tests/source_fleet.py
@@ -184,7 +184,7 @@
         self.put(
             read.name,
             protocols.SourceConfirmed(
-                sent_s=read.began_s, checked_s=self.now_s
+                sent_s=read.began_s, checked_s=self.now_s, position=newest
             ),
         )
         if read.is_single:
