--- a/src/arbutusstall/_settings.py
+++ b/src/arbutusstall/_settings.py
@@ -115,7 +115,8 @@
         roots: Number of root positions in each data centre.
         fan_out: Maximum number of children of a node.
         heartbeat_s: Interval of heartbeats from parent to child. From
-            child to parent and between roots it is three times as long.
+            child to parent it is three times as long, and between roots
+            unless ``apply_s`` is set.
         silent_s: Time without any message after which a parent is
             replaced. For children and other roots it is three times as
             long.
--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -90,7 +90,7 @@
         self._budget = budget
         self._reserved_bytes = 0
         self._head_bytes = 0
-        self.watched: stall_watch.Exchange | None = None
+        self.watched: stall_watch.WatchedExchange | None = None
 
     def write(self, data: bytes) -> int:
         """Append a part of the body."""
@@ -153,7 +153,7 @@
         self._curl = pycurl.Curl()
         self._socket: socket.socket | None = None
         self._heads_sent = 0
-        self._begin: abc.Callable[[], None] = _do_nothing
+        self._start_watch: abc.Callable[[], None] = _do_nothing
         self._broken = False
         self._configure()
 
@@ -168,7 +168,7 @@
         curl = self._curl
         received = self._response_buffer(request)
         self._heads_sent = 0
-        self._begin = lambda: self._watch(received, request.stalls)
+        self._start_watch = lambda: self._watch(received, request.stalls)
         self._set_options(request)
         curl.setopt(pycurl.WRITEFUNCTION, received.write)
         curl.setopt(pycurl.HEADERFUNCTION, received.add_line)
@@ -266,7 +266,7 @@
         self._heads_sent += 1
         if self._heads_sent > 1:
             return int(pycurl.PREREQFUNC_ABORT)
-        self._begin()
+        self._start_watch()
         return int(pycurl.PREREQFUNC_OK)
 
     def _to_error(
--- a/src/arbutusstall/_shell/stall_watch.py
+++ b/src/arbutusstall/_shell/stall_watch.py
@@ -9,7 +9,7 @@
 import time
 
 
-class Exchange:
+class WatchedExchange:
     """One exchange that is watched.
 
     Args:
@@ -41,7 +41,7 @@
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
-        self._exchanges: set[Exchange] = set()
+        self._exchanges: set[WatchedExchange] = set()
         self._thread: threading.Thread | None = None
 
     def add(
@@ -50,14 +50,14 @@
         *,
         first_s: float,
         limit_s: float,
-    ) -> Exchange:
+    ) -> WatchedExchange:
         """Watch an exchange from now on.
 
         Args:
             first_s: Maximum time until something arrives, in seconds.
             limit_s: Maximum time between two arrivals after that.
         """
-        exchange = Exchange(abort, limit_s, time.monotonic() + first_s)
+        exchange = WatchedExchange(abort, limit_s, time.monotonic() + first_s)
         with self._changed:
             self._exchanges.add(exchange)
             if self._thread is None:
@@ -66,7 +66,7 @@
             self._changed.notify()
         return exchange
 
-    def remove(self, exchange: Exchange) -> None:
+    def remove(self, exchange: WatchedExchange) -> None:
         """Watch an exchange no longer."""
         with self._changed:
             self._exchanges.discard(exchange)
