Count lines of answers of the threaded call path

Each head could have 256 KiB, more than a megabyte in lines, at each of the threads, whatever the budget was.

Lines now count against the budget, with what they become, and are dropped with the body.

--- a/src/arbutusstall/_shell/http.py
+++ b/src/arbutusstall/_shell/http.py
@@ -25,6 +25,8 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 _DEFAULT_MAX_IDLE = 8
 _MAX_HEAD_BYTES = 256 * 1024
+# A line as received, and the tuple of strings that it becomes.
+_LINE_BYTES = 250
 # Return value of a callback that makes libcurl abort the exchange.
 _ABORT = -1
 
@@ -97,22 +99,29 @@
         self._record_arrival()
         if self.body.tell() + len(data) > self._max_body_bytes:
             return _ABORT
-        if self._budget is not None:
-            if not self._budget.reserve(len(data)):
-                return _ABORT
-            self._reserved_bytes += len(data)
+        if not self._reserve(len(data)):
+            return _ABORT
         return self.body.write(data)
 
     def release(self) -> None:
-        """Forget the body, and return what it takes to the budget.
+        """Forget the response, and return what it takes to the budget.
 
         The curl handle keeps a reference until the next exchange.
         """
         self.body = io.BytesIO()
+        self.lines = []
         if self._budget is not None:
             self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
+    def _reserve(self, count: int) -> bool:
+        if self._budget is None:
+            return True
+        if not self._budget.reserve(count):
+            return False
+        self._reserved_bytes += count
+        return True
+
     def _record_arrival(self) -> None:
         if self.watched is not None:
             self.watched.record_arrival()
@@ -123,6 +132,8 @@
         self._head_bytes += len(line)
         if self._head_bytes > _MAX_HEAD_BYTES:
             return _ABORT
+        if not self._reserve(len(line) + _LINE_BYTES):
+            return _ABORT
         self.lines.append(line)
         return len(line)
 
@@ -133,7 +144,7 @@
 
     Attributes:
         answer_bytes: Maximum size of one body, in bytes.
-        budget: Bounds the bodies that are being read together.
+        budget: Bounds the responses that are being read together.
     """
 
     answer_bytes: int
