--- a/src/arbutusstall/_staleness/decisions.py
+++ b/src/arbutusstall/_staleness/decisions.py
@@ -16,6 +16,7 @@
 from arbutusstall import _settings
 from arbutusstall._staleness import news
 from arbutusstall._systems import admit
+from arbutusstall._systems import attach
 from arbutusstall._tables import links
 from arbutusstall._tables import node
 from arbutusstall._tables import versions
@@ -154,18 +155,14 @@
     if is_late == state.is_late:
         return []
     state.is_late = is_late
-    parent = next(
-        (
-            link.peer
-            for link in tables.links_by_peer.values()
-            if link.role is links.LinkRole.PARENT
-        ),
-        "-",
-    )
+    parent = attach.parent(tables)
     return [
         _effects.Emit(
             event="source-news-late" if is_late else "source-news-regained",
-            fields={"age_s": round(found_s, 3), "parent": parent},
+            fields={
+                "age_s": round(found_s, 3),
+                "parent": parent.peer if parent else "-",
+            },
         )
     ]
 
