--- a/src/arbutusstall/_bounds/shared_budget.py
+++ b/src/arbutusstall/_bounds/shared_budget.py
@@ -2,28 +2,22 @@
 
 import threading
 
+from arbutusstall._proxy import byte_budget
 
-class SharedBudget:
-    """Counts reserved bytes against a limit; thread-safe.
 
-    Args:
-        limit: Maximum number of bytes reserved at the same time.
-    """
+class SharedBudget(byte_budget.ByteBudget):
+    """A byte budget that is thread-safe; see `byte_budget.ByteBudget`."""
 
     def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self._held = 0
+        super().__init__(limit)
         self._lock = threading.Lock()
 
     def reserve(self, count: int) -> bool:
         """Reserve ``count`` more bytes; false if that exceeds the limit."""
         with self._lock:
-            if self._held + count > self.limit:
-                return False
-            self._held += count
-            return True
+            return super().reserve(count)
 
     def release(self, count: int) -> None:
         """Release ``count`` reserved bytes."""
         with self._lock:
-            self._held -= count
+            super().release(count)
