--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -181,16 +181,25 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
+    """Return a port of the loopback address that is free now.
+
+    It lies below the range from which connections get theirs, so that none
+    takes it before the program that listens there has started.
+    """
     while True:
+        port = _ports.randrange(20_000, 30_000)
+        if port in _taken:
+            continue
         with socket.socket() as sock:
-            sock.bind((HOST, 0))
-            port = sock.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return port
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
+_ports = random.SystemRandom()
 _taken: set[int] = set()
 
 
